--- /dev/null
+++ b/src/main/java/martenslip/Logic.java
@@ -0,0 +1,934 @@
+package martenslip;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import martenslip.control.Blame;
+import martenslip.control.Cause;
+import martenslip.control.Contact;
+import martenslip.control.Controller;
+import martenslip.control.Moment;
+import martenslip.control.Orders;
+import martenslip.control.RingEnd;
+import martenslip.control.Span;
+import martenslip.control.SwitchLine;
+
+/*
+ * The module: every decision of martenslip. A program makes one Logic for each exchange with the settings,
+ * a seed and the moment, tells it what happens through martenslip.control.Controller and carries out what it
+ * orders through martenslip.control.Orders. docs/design.md tells where this follows the design and where not.
+ *
+ * A call from outside becomes notes in inboxes; one loop empties them before the call returns. A Switch actor
+ * for each switch owns the group toward it, the Front owns contacts, rings, clocks and final answers.
+ */
+public final class Logic implements Controller {
+    // The paper's thresholds of urgent demand, and Table 2's upper limits for each stage over the stage's
+    // total: emergency, gold, silver, bronze.
+    static final double[] STAGES = {0.112, 0.256, 0.40, 0.60};
+    static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
+        {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
+    // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
+    static final double NEAR_FULL = 0.25;
+    static final double NEAR_FULL_TANDEM = 0.6;
+    static final double WEIGHT_UP = 1.1;
+    static final double WEIGHT_DOWN = 0.6;
+    static final double WEIGHT_LEAST = 0.05;
+
+    enum Reason { SHARE, FULL, PRESSED, COLD, DOWN }
+
+    sealed interface Note { }
+
+    record Offered(Contact contact) implements Note { }
+
+    record Stood(long contact, Span took) implements Note { }
+
+    record Ended(RingEnd end) implements Note { }
+
+    record CallerGone(long contact) implements Note { }
+
+    record Rung(long contact) implements Note { }
+
+    record Ask(long contact, int skill, int width, boolean transit, boolean first, long dialled, int hint,
+               Moment waitUntil, long spurned) implements Note { }
+
+    record Through(Ask ask, Switch destination, List<Switch> others) implements Note { }
+
+    record Requeue(Ask ask) implements Note { }
+
+    record Granted(long contact, Switch target) implements Note { }
+
+    record Denied(long contact, Reason reason) implements Note { }
+
+    record Queued(long contact, Switch destination) implements Note { }
+
+    record Withdraw(long contact) implements Note { }
+
+    record Return(long contact) implements Note { }
+
+    record Serve() implements Note { }
+
+    record Tick(Switch asker) implements Note { }
+
+    record Told(SwitchLine line) implements Note { }
+
+    record Reported(float[] report) implements Note { }
+
+    record Judge(long tandem, boolean well) implements Note { }
+
+    /** A skill as the settings describe it; rank 0 is the urgent one, the table row its place in the paper. */
+    record Skill(int rank, int row, int width, double value, Span target, Span hold, Span patience) { }
+
+    /** A histogram of spans over doubling bins below a scale, halved each time its period has passed. */
+    static final class Spans {
+        static final int BINS = 8;
+        final double[] bins = new double[BINS];
+        final Span scale;
+        final Span period;
+        Moment halved;
+
+        Spans(Span scale, Span period, Moment now) {
+            this.scale = scale;
+            this.period = period;
+            halved = now;
+        }
+
+        void add(Span span, Moment now) {
+            while (now.since(halved).longerThan(period)) {
+                halved = now.since(halved).longerThan(period.times(8)) ? now : halved.plus(period);
+                for (int i = 0; i < BINS; i++) {
+                    bins[i] /= 2;
+                }
+            }
+            int bin = BINS - 1;
+            for (Span edge = scale; bin > 0 && edge.longerThan(span); edge = edge.times(0.5)) {
+                bin--;
+            }
+            bins[bin]++;
+        }
+
+        /** The upper edge of the bin that holds this part of what was seen; zero where too little was. */
+        Span quantile(double part) {
+            double total = Arrays.stream(bins).sum();
+            double left = total * part;
+            for (int i = 0; total >= 1 && i < BINS; i++) {
+                left -= bins[i];
+                if (left <= 0) {
+                    return scale.times(Math.pow(2, i - BINS + 2));
+                }
+            }
+            return Span.ZERO;
+        }
+    }
+
+    /** Counts over the last few periods of one length. */
+    static final class Tally {
+        final double[] bins = new double[4];
+        final Span period;
+        final Moment began;
+        long last;
+
+        Tally(Span period, Moment now) {
+            this.period = period;
+            began = now;
+        }
+
+        private void turn(Moment now) {
+            long bin = now.since(began).ns() / period.ns();
+            for (long i = Math.max(last + 1, bin - bins.length + 1); i <= bin; i++) {
+                bins[(int) (i % bins.length)] = 0;
+            }
+            last = bin;
+        }
+
+        void add(double amount, Moment now) {
+            turn(now);
+            bins[(int) (last % bins.length)] += amount;
+        }
+
+        /** The mean for one period; while young, over what has passed but not under a whole period. */
+        double mean(Moment now) {
+            turn(now);
+            double passed = now.since(began).over(period);
+            double seen = passed < bins.length ? passed : bins.length - 1 + passed - Math.floor(passed);
+            return Arrays.stream(bins).sum() / Math.max(1, seen);
+        }
+    }
+
+    abstract class Actor {
+        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
+
+        final void put(Note note) {
+            if (inbox.isEmpty()) {
+                busy.add(this);
+            }
+            inbox.add(note);
+        }
+
+        final void empty() {
+            while (!inbox.isEmpty()) {
+                read(inbox.peek());
+                inbox.poll();
+            }
+        }
+
+        abstract void read(Note note);
+    }
+
+    private record Held(int skill, int width, Moment since) { }
+
+    final class Switch extends Actor {
+        final long id;
+        int number = -1;
+        SwitchLine.State state = SwitchLine.State.GONE;
+        Moment started;
+        int free;
+        int size;
+        final Map<Long, Held> rings = new LinkedHashMap<>();
+        final int[] held = new int[skills.length];
+        final Tally urgent = new Tally(skills[urgentSkill].hold, now);
+        final Map<Long, Moment> wanted = new LinkedHashMap<>();
+        final Map<Long, Double> weights = new TreeMap<>();
+        final List<Ask> waiting = new ArrayList<>();
+        boolean ticking;
+        final Spans setUps = new Spans(patienceMost, skills[urgentSkill].target, now);
+        final Tally sent = new Tally(skills[urgentSkill].target, now);
+        double warmRate;
+        double budget;
+        Moment budgetAt = now;
+        Moment lastSign = now;
+        Moment lastTrial = new Moment(Long.MIN_VALUE / 2);
+        Moment fullUntil = new Moment(Long.MIN_VALUE / 2);
+        double cutBy;
+        Span wait = Span.ZERO;
+
+        Switch(long id) {
+            this.id = id;
+        }
+
+        @Override
+        void read(Note note) {
+            if (note instanceof Ask ask) {
+                asked(ask);
+            } else if (note instanceof Through through) {
+                through(through);
+            } else if (note instanceof Stood stood) {
+                Held ring = rings.get(stood.contact);
+                setUps.add(stood.took, now);
+                lastSign = now;
+                if (ring != null) {
+                    rings.put(stood.contact, new Held(ring.skill, ring.width, null));
+                }
+            } else if (note instanceof Ended ended) {
+                ended(ended.end);
+            } else if (note instanceof Reported told) {
+                reported(told.report);
+                serve();
+            } else if (note instanceof Return back) {
+                giveBack(back.contact);
+            } else if (note instanceof Requeue again) {
+                if (now.before(again.ask.waitUntil)) {
+                    queue(again.ask);
+                } else {
+                    front.put(new Denied(again.ask.contact, Reason.FULL));
+                }
+            } else if (note instanceof Withdraw gone) {
+                waiting.removeIf(ask -> ask.contact == gone.contact);
+            } else if (note instanceof Serve) {
+                ticking = false;
+                serve();
+            } else if (note instanceof Told told) {
+                listed(told.line);
+            } else if (note instanceof Judge judge) {
+                double weight = weights.getOrDefault(judge.tandem, 1.0) * (judge.well ? WEIGHT_UP : WEIGHT_DOWN);
+                weights.put(judge.tandem, Math.max(WEIGHT_LEAST, Math.min(1, weight)));
+            }
+        }
+
+        void listed(SwitchLine line) {
+            number = line.number();
+            state = line.state();
+            if (line.started() != null && (started == null || started.before(line.started()))) {
+                // What was known of the processor that ran before says nothing of this one.
+                warmRate = Math.max(warmRate, sent.mean(now) / sent.period.ns() * 1e9);
+                started = line.started();
+                budget = 0;
+                budgetAt = now;
+                lastSign = now;
+                cutBy = 0;
+                wait = Span.ZERO;
+            }
+        }
+
+        void reported(float[] report) {
+            if (report.length >= 2) {
+                free = Math.round(report[0]);
+                size = Math.round(report[1]);
+            }
+            for (int i = 2; i < report.length && i < fields.size(); i++) {
+                if (report[i] < 0) {
+                    continue;
+                }
+                switch (fields.get(i)) {
+                    case "cut_by" -> cutBy = report[i];
+                    case "mean_ms" -> wait = Span.ofMillis(report[i]);
+                    default -> { }
+                }
+            }
+        }
+
+        void ended(RingEnd end) {
+            giveBack(end.contact());
+            reported(end.report());
+            if (end.cause() == Cause.TURNED_BACK || end.cause() == Cause.CONCLUDED || end.cause() == Cause.BUSY) {
+                lastSign = now;
+            }
+            if (end.cause() == Cause.TURNED_BACK && end.blame() == Blame.PROCESSOR) {
+                fullUntil = now.plus(end.stayAway().least(skills[urgentSkill].target.times(0.2)));
+            }
+            serve();
+        }
+
+        void giveBack(long contact) {
+            Held ring = rings.remove(contact);
+            if (ring != null) {
+                held[ring.skill] -= ring.width;
+            }
+        }
+
+        void take(Ask ask) {
+            rings.put(ask.contact, new Held(ask.skill, ask.width, now));
+            held[ask.skill] += ask.width;
+            free -= ask.width;
+            front.put(new Granted(ask.contact, this));
+        }
+
+        int stage() {
+            double demand = size == 0 ? 0 : urgent.mean(now) / size;
+            int stage = 0;
+            while (stage < STAGES.length && demand > STAGES[stage]) {
+                stage++;
+            }
+            return stage;
+        }
+
+        /** Circuits that no ring from here explains were placed at the far end: they count as the cheapest. */
+        int holds(int skill) {
+            int unknown = skill == cheapest ? Math.max(0, size - free - Arrays.stream(held).sum()) : 0;
+            return held[skill] + unknown;
+        }
+
+        double share(int skill, int stage) {
+            return SHARES[stage][skills[skill].row] + (skill == cheapest ? absentShare(stage) : 0);
+        }
+
+        /** In the first stage a class may fill the group; later it has its share and what others leave idle. */
+        double limit(int skill, boolean tandem) {
+            int stage = stage();
+            if (stage == 0 && !tandem) {
+                return size;
+            }
+            double limit = share(skill, stage) * size;
+            for (int other = 0; other < skills.length; other++) {
+                if (other != skill && (skill == urgentSkill || other != urgentSkill)) {
+                    limit += Math.max(0, share(other, stage) * size - holds(other));
+                }
+            }
+            return limit;
+        }
+
+        /** Null where the group takes the contact, else why not. */
+        Reason admits(Ask ask, boolean tandem) {
+            if (free < ask.width) {
+                return Reason.FULL;
+            }
+            double root = Math.sqrt(size);
+            boolean urgentOne = skills[ask.skill].rank == 0;
+            double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * root, widest);
+            if (free - ask.width >= level || urgentOne) {
+                return null;
+            }
+            if (tandem) {
+                return Reason.SHARE;
+            }
+            return holds(ask.skill) + ask.width <= limit(ask.skill, false) ? null : Reason.SHARE;
+        }
+
+        /** Rings out and no word for longer than set-ups here take: it may be hung, cut off or very slow. */
+        boolean silent() {
+            Span longest = setUps.quantile(0.9).times(2).least(skills[urgentSkill].target);
+            for (Held ring : rings.values()) {
+                if (ring.since != null) {
+                    return lastSign.before(ring.since) && now.since(ring.since).longerThan(longest);
+                }
+            }
+            return false;
+        }
+
+        double coldPart() {
+            if (started == null) {
+                return 1;
+            }
+            double age = now.since(started).over(warmWithin);
+            return age >= 1 ? 1 : coldShare + (1 - coldShare) * Math.max(0, age) * Math.max(0, age);
+        }
+
+        /** Each exchange sends a cold processor only its own usual part, cut as the processor's capacity is. */
+        boolean spendCold(boolean urgentOne) {
+            double part = coldPart();
+            if (part >= 1) {
+                return true;
+            }
+            double rate = Math.max(warmRate, 0.2) * part * 0.8;
+            budget = Math.min(2, budget + rate * now.since(budgetAt).ns() / 1e9);
+            budgetAt = now;
+            if (budget < (urgentOne ? 1 : 1.5)) {
+                return false;
+            }
+            budget--;
+            return true;
+        }
+
+        /** The part of contacts of this skill to keep back from this processor. */
+        double pressure(int skill) {
+            if (now.before(fullUntil)) {
+                return 1;
+            }
+            Skill kind = skills[skill];
+            Span delay = setUps.quantile(0.5).least(wait);
+            double slow = delay.over(kind.target);
+            return kind.rank == 0 ? ramp(slow, 1.0, 2.0) : Math.max(cutBy, ramp(slow, 0.35, 0.85));
+        }
+
+        Reason processor(Ask ask) {
+            if (state != SwitchLine.State.READY) {
+                return Reason.DOWN;
+            }
+            if (silent()) {
+                if (now.since(lastTrial).longerThan(skills[urgentSkill].target)) {
+                    lastTrial = now;
+                    return null;
+                }
+                return Reason.DOWN;
+            }
+            double back = pressure(ask.skill);
+            return back > 0 && chance.nextDouble() < back ? Reason.PRESSED : null;
+        }
+
+        void asked(Ask ask) {
+            boolean urgentOne = skills[ask.skill].rank == 0;
+            if (ask.first && urgentOne) {
+                want(ask);
+            }
+            Reason reason = processor(ask);
+            if (reason == null) {
+                reason = place(ask);
+            }
+            if (reason == Reason.DOWN || reason == Reason.SHARE || ask.transit && reason != null) {
+                front.put(new Denied(ask.contact, reason));
+            } else if (reason == Reason.PRESSED || reason == Reason.COLD) {
+                if (urgentOne && now.before(ask.waitUntil)) {
+                    queue(ask);
+                } else {
+                    front.put(new Denied(ask.contact, reason));
+                }
+            }
+        }
+
+        /** One blocked caller who asks again is one want, so a number counts once while it may still redial. */
+        void want(Ask ask) {
+            wanted.values().removeIf(until -> until.before(now));
+            if (ask.dialled == 0 || wanted.put(ask.dialled, now.plus(skills[ask.skill].patience)) == null) {
+                urgent.add(ask.width, now);
+            }
+        }
+
+        /** Direct where there is room, else over a tandem; null where the contact is on its way or waits. */
+        Reason place(Ask ask) {
+            Reason reason = reserved(ask) ? Reason.FULL : admits(ask, ask.transit);
+            if (reason == null) {
+                if (!spendCold(skills[ask.skill].rank == 0)) {
+                    return Reason.COLD;
+                }
+                sent.add(1, now);
+                take(ask);
+                return null;
+            }
+            if (ask.transit || reason == Reason.SHARE) {
+                return reason;
+            }
+            List<Switch> drawn = coldPart() < 1 ? List.of() : draw(ask);
+            if (drawn.isEmpty()) {
+                put(new Requeue(ask));
+            } else {
+                drawn.get(0).put(new Through(ask, this, drawn.subList(1, drawn.size())));
+            }
+            return null;
+        }
+
+        /** Circuits that come free are first for those of a dearer skill that wait for them. */
+        boolean reserved(Ask ask) {
+            int ahead = 0;
+            for (Ask other : waiting) {
+                if (skills[other.skill].rank < skills[ask.skill].rank) {
+                    ahead += other.width;
+                }
+            }
+            return ahead > 0 && free < ahead + ask.width;
+        }
+
+        /** All tandems in an order drawn by their weights. */
+        List<Switch> draw(Ask ask) {
+            List<Switch> left = new ArrayList<>();
+            for (Switch other : switches.values()) {
+                if (other != this && other != home() && other.id != ask.spurned) {
+                    left.add(other);
+                }
+            }
+            List<Switch> drawn = new ArrayList<>();
+            while (!left.isEmpty()) {
+                double total = 0;
+                for (Switch other : left) {
+                    total += weights.getOrDefault(other.id, 1.0);
+                }
+                double at = chance.nextDouble() * total;
+                int picked = 0;
+                while (picked < left.size() - 1 && (at -= weights.getOrDefault(left.get(picked).id, 1.0)) > 0) {
+                    picked++;
+                }
+                drawn.add(left.remove(picked));
+            }
+            return drawn;
+        }
+
+        void through(Through through) {
+            Ask ask = through.ask;
+            if (coldPart() >= 1 && state == SwitchLine.State.READY && !silent()
+                    && pressure(ask.skill) == 0 && admits(ask, true) == null) {
+                sent.add(1, now);
+                take(ask);
+            } else if (through.others.isEmpty()) {
+                through.destination.put(new Requeue(ask));
+            } else {
+                List<Switch> others = through.others;
+                others.get(0).put(new Through(ask, through.destination, others.subList(1, others.size())));
+            }
+        }
+
+        void queue(Ask ask) {
+            int at = 0;
+            while (at < waiting.size() && skills[waiting.get(at).skill].rank <= skills[ask.skill].rank) {
+                at++;
+            }
+            waiting.add(at, ask);
+            front.put(new Queued(ask.contact, this));
+            if (!ticking) {
+                tick();
+            }
+        }
+
+        void tick() {
+            ticking = true;
+            front.put(new Tick(this));
+        }
+
+        void serve() {
+            List<Ask> turns = new ArrayList<>(waiting);
+            waiting.clear();
+            for (Ask ask : turns) {
+                if (now.before(ask.waitUntil)) {
+                    asked(new Ask(ask.contact, ask.skill, ask.width, false, false, ask.dialled, ask.hint,
+                            ask.waitUntil, ask.spurned));
+                }
+            }
+        }
+    }
+
+    enum Doing { SEEKING, WAITING, RINGING, RELEASING }
+
+    private static final class Open {
+        final Contact contact;
+        final Moment end;
+        final Moment worthUntil;
+        Doing doing = Doing.SEEKING;
+        int rings;
+        boolean asked;
+        Switch at;
+        Switch destination;
+        long spurned;
+        Moment seekAt;
+
+        Open(Contact contact, Moment end, Moment worthUntil) {
+            this.contact = contact;
+            this.end = end;
+            this.worthUntil = worthUntil;
+        }
+    }
+
+    final class Front extends Actor {
+        final Map<Long, Open> open = new LinkedHashMap<>();
+
+        @Override
+        void read(Note note) {
+            if (note instanceof Offered offered) {
+                offered(offered.contact);
+            } else if (note instanceof Stood stood) {
+                Open one = open.remove(stood.contact);
+                if (one != null && one.at != one.destination) {
+                    one.destination.put(new Judge(one.at.id, true));
+                }
+            } else if (note instanceof Ended ended) {
+                ended(ended.end);
+            } else if (note instanceof CallerGone gone) {
+                Open one = open.remove(gone.contact);
+                if (one != null) {
+                    letGo(one);
+                }
+            } else if (note instanceof Granted granted) {
+                ring(granted);
+            } else if (note instanceof Denied denied) {
+                Open one = open.get(denied.contact);
+                if (one != null) {
+                    defer(one, denied.reason);
+                }
+            } else if (note instanceof Queued queued) {
+                Open one = open.get(queued.contact);
+                if (one != null && one.doing == Doing.SEEKING) {
+                    one.doing = Doing.WAITING;
+                    clock(one, one.worthUntil);
+                }
+            } else if (note instanceof Rung rung) {
+                rung(open.get(rung.contact));
+            } else if (note instanceof Tick tick) {
+                orders.clock(skills[urgentSkill].target.times(0.04).least(round), tick.asker.id * 2 + 1);
+            }
+        }
+
+        void clock(Open one, Moment at) {
+            orders.clock(at.since(now).least(round), one.contact.id() * 2);
+        }
+
+        void offered(Contact contact) {
+            Skill skill = skills[Math.min(contact.skill(), skills.length - 1)];
+            // Two rounds early: a clock is heard up to a round late, and an answer after the end counts as none.
+            Moment end = now.plus(contact.patience()).plus(round.times(-2));
+            Moment worth = now.plus(skill.target.times(0.75));
+            Open one = new Open(contact, end, worth.before(end) ? worth : end);
+            open.put(contact.id(), one);
+            if (!now.before(end)) {
+                defer(one, Reason.FULL);
+                return;
+            }
+            clock(one, end);
+            seek(one);
+        }
+
+        void seek(Open one) {
+            Contact contact = one.contact;
+            one.destination = byNumber(contact.destination());
+            if (one.destination == null || one.rings >= mostRings) {
+                defer(one, Reason.DOWN);
+                return;
+            }
+            one.doing = Doing.SEEKING;
+            boolean first = !one.asked;
+            one.asked = true;
+            one.destination.put(new Ask(contact.id(), Math.min(contact.skill(), skills.length - 1),
+                    Math.max(1, contact.width()), contact.inTransit(), first, contact.dialled(), contact.hint(),
+                    one.worthUntil, one.spurned));
+        }
+
+        void ring(Granted granted) {
+            Open one = open.get(granted.contact);
+            if (one == null || one.doing == Doing.RINGING || one.doing == Doing.RELEASING || !now.before(one.end)) {
+                granted.target.put(new Return(granted.contact));
+                return;
+            }
+            one.doing = Doing.RINGING;
+            one.at = granted.target;
+            one.rings++;
+            orders.ring(one.contact.id(), granted.target.id, one.end.since(now));
+        }
+
+        void ended(RingEnd end) {
+            Open one = open.get(end.contact());
+            if (one == null || end.ring() != one.rings - 1) {
+                return;
+            }
+            if (end.answered()) {
+                open.remove(end.contact());
+                return;
+            }
+            boolean tandem = one.at != one.destination;
+            if (tandem && end.cause() != Cause.NOT_SENT) {
+                one.destination.put(new Judge(one.at.id, false));
+                one.spurned = one.at.id;
+            }
+            boolean urgentOne = skills[Math.min(one.contact.skill(), skills.length - 1)].rank == 0;
+            if (one.contact.inTransit()) {
+                defer(one, Reason.FULL);
+                return;
+            }
+            switch (end.cause()) {
+                case TIMED_OUT, CUT, CALLED_OFF -> {
+                    Moment again = now.plus(release).plus(round);
+                    if (again.before(one.worthUntil)) {
+                        one.doing = Doing.RELEASING;
+                        one.seekAt = again;
+                        clock(one, again);
+                    } else {
+                        abandon(one);
+                    }
+                }
+                case TURNED_BACK, NOT_SENT, UNREACHABLE -> {
+                    boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
+                    if (now.before(one.worthUntil) && (!pressed || tandem || urgentOne)) {
+                        one.doing = Doing.RELEASING;
+                        one.seekAt = now;
+                        seekLater(one, pressed);
+                    } else {
+                        defer(one, pressed ? Reason.PRESSED : Reason.FULL);
+                    }
+                }
+                default -> defer(one, Reason.FULL);
+            }
+        }
+
+        void seekLater(Open one, boolean pressed) {
+            if (pressed) {
+                one.seekAt = now.plus(skills[urgentSkill].target.times(0.15));
+                clock(one, one.seekAt);
+            } else {
+                seek(one);
+            }
+        }
+
+        void rung(Open one) {
+            if (one == null) {
+                return;
+            }
+            if (!now.before(one.end)) {
+                abandon(one);
+            } else if (one.doing == Doing.RELEASING && !now.before(one.seekAt)) {
+                seek(one);
+            } else if (one.doing == Doing.WAITING && !now.before(one.worthUntil)) {
+                defer(one, Reason.FULL);
+            }
+        }
+
+        // The two places of a final answer; a contact is forgotten there, so nothing can follow.
+        void defer(Open one, Reason reason) {
+            open.remove(one.contact.id());
+            letGo(one);
+            orders.defer(one.contact.id(), one.contact.inTransit() ? Span.ZERO : comeBack);
+        }
+
+        void abandon(Open one) {
+            open.remove(one.contact.id());
+            letGo(one);
+            orders.abandon(one.contact.id());
+        }
+
+        void letGo(Open one) {
+            if (one.doing == Doing.WAITING || one.doing == Doing.SEEKING) {
+                if (one.destination != null) {
+                    one.destination.put(new Withdraw(one.contact.id()));
+                }
+            } else if (one.doing == Doing.RINGING && mayCallOff) {
+                orders.callOff(one.contact.id(), one.rings - 1);
+            }
+        }
+    }
+
+    private final Map<String, String> settings;
+    private final Orders orders;
+    private final SplittableRandom chance;
+    private Moment now;
+    private final ArrayDeque<Actor> busy = new ArrayDeque<>();
+    private final Map<Long, Switch> switches = new TreeMap<>();
+    private final Skill[] skills;
+    private int urgentSkill;
+    private int cheapest;
+    private int widest = 1;
+    private Span patienceMost = Span.ZERO;
+    private final List<String> fields;
+    private final Span round;
+    private final Span release;
+    private final Span comeBack;
+    private final Span warmWithin;
+    private final double coldShare;
+    private final int mostRings;
+    private final boolean mayCallOff;
+    private final int homeNumber;
+    private final Front front = new Front();
+
+    public Logic(Map<String, String> settings, long seed, Moment now, Orders orders) {
+        this.settings = settings;
+        this.orders = orders;
+        this.now = now;
+        chance = new SplittableRandom(seed);
+        round = new Span((long) number("round-ns", 5e6));
+        release = new Span((long) number("family-info.release-ns", 0));
+        comeBack = "true".equals(settings.get("policy-limits.retry-after"))
+                ? new Span((long) number("policy-limits.max-retry-after-ns", 0)) : Span.ZERO;
+        warmWithin = new Span((long) number("guarantees.warm-within-ns", 1));
+        coldShare = number("guarantees.cold-share", 0.2);
+        mostRings = (int) number("policy-limits.send-cap", 1);
+        mayCallOff = "true".equals(settings.get("policy-limits.cancel"));
+        homeNumber = (int) number("family-info.home-no", -1);
+        fields = Arrays.asList(settings.getOrDefault("report.fields", "").split(","));
+        skills = skills();
+    }
+
+    private double number(String name, double otherwise) {
+        return item(settings.get(name), 0, otherwise);
+    }
+
+    private static double item(String list, int at, double otherwise) {
+        String[] items = list == null ? new String[0] : list.split(",");
+        return at < items.length && !items[at].isBlank() ? Double.parseDouble(items[at].trim()) : otherwise;
+    }
+
+    private Skill[] skills() {
+        int count = (int) number("classes.count", 1);
+        Integer[] byValue = new Integer[count];
+        Arrays.setAll(byValue, i -> i);
+        Arrays.sort(byValue, (a, b) -> Double.compare(value(b), value(a)));
+        Skill[] all = new Skill[count];
+        for (int rank = 0; rank < count; rank++) {
+            int skill = byValue[rank];
+            String at = "classes." + skill + ".";
+            // The cheapest plays bronze; the ones between take silver, then gold, from below.
+            int row = rank == 0 ? 0 : Math.max(1, 3 - (count - 1 - rank));
+            int width = (int) item(settings.get("family-info.widths"), skill, 1);
+            Span hold = new Span((long) item(settings.get("family-info.mean-hold-ns"), skill, 1e10));
+            all[skill] = new Skill(rank, row, width, value(skill), new Span((long) number(at + "aim-ns", 1e9)),
+                    hold, new Span((long) number(at + "hard-limit-ns", 9e9)));
+            widest = Math.max(widest, width);
+            patienceMost = patienceMost.least(all[skill].patience);
+        }
+        urgentSkill = byValue[0];
+        cheapest = byValue[count - 1];
+        return all;
+    }
+
+    private double value(int skill) {
+        return number("classes." + skill + ".worth", 1);
+    }
+
+    /** Shares of the paper's classes that no skill here plays go to the cheapest, so none is stranded. */
+    double absentShare(int stage) {
+        double left = 1;
+        for (Skill skill : skills) {
+            left -= SHARES[stage][skill.row];
+        }
+        return Math.max(0, left);
+    }
+
+    static double ramp(double value, double from, double to) {
+        return Math.max(0, Math.min(1, (value - from) / (to - from)));
+    }
+
+    Switch home() {
+        return byNumber(homeNumber);
+    }
+
+    Switch byNumber(int number) {
+        for (Switch one : switches.values()) {
+            if (one.number == number) {
+                return one;
+            }
+        }
+        return null;
+    }
+
+    Switch at(long id) {
+        return switches.computeIfAbsent(id, Switch::new);
+    }
+
+    private void loop() {
+        while (!busy.isEmpty()) {
+            busy.poll().empty();
+        }
+    }
+
+    @Override
+    public void listed(Moment at, ListKind kind, List<SwitchLine> lines) {
+        now = at;
+        List<Long> named = new ArrayList<>();
+        for (SwitchLine line : lines) {
+            named.add(line.id());
+            at(line.id()).put(new Told(line));
+        }
+        if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
+            for (Switch one : switches.values()) {
+                if (!named.contains(one.id)) {
+                    one.put(new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0)));
+                }
+            }
+        }
+        loop();
+    }
+
+    @Override
+    public void offered(Moment at, Contact contact) {
+        now = at;
+        front.put(new Offered(contact));
+        loop();
+    }
+
+    @Override
+    public void stands(Moment at, long contact, int ring, long target, Span took) {
+        now = at;
+        at(target).put(new Stood(contact, took));
+        front.put(new Stood(contact, took));
+        loop();
+    }
+
+    @Override
+    public void ringEnded(Moment at, RingEnd end) {
+        now = at;
+        at(end.target()).put(new Ended(end));
+        front.put(new Ended(end));
+        loop();
+    }
+
+    @Override
+    public void callerGone(Moment at, long contact) {
+        now = at;
+        front.put(new CallerGone(contact));
+        loop();
+    }
+
+    @Override
+    public void clockRung(Moment at, long token) {
+        now = at;
+        if ((token & 1) == 1) {
+            at(token >> 1).put(new Serve());
+        } else {
+            front.put(new Rung(token >> 1));
+        }
+        loop();
+    }
+
+    @Override
+    public void reported(Moment at, long target, boolean reached, Span took, float[] report) {
+        now = at;
+        at(target).put(new Reported(report));
+        loop();
+    }
+
+    @Override
+    public void peerNote(Moment at, int peer, byte[] note) {
+        now = at;
+    }
+
+    @Override
+    public void stopped(Moment at) {
+        now = at;
+    }
+}
