--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -1,22 +1,7 @@
 package martenslip;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
-import martenslip.control.Blame;
-import martenslip.control.Cause;
-import martenslip.control.Contact;
-import martenslip.control.Controller;
-import martenslip.control.Moment;
-import martenslip.control.Orders;
-import martenslip.control.RingEnd;
-import martenslip.control.Span;
-import martenslip.control.SwitchLine;
+import java.util.*;
+import martenslip.control.*;
 
 /*
  * The module: every decision of martenslip. A program makes one Logic for each exchange with the settings,
@@ -34,51 +19,104 @@
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
     static final double NEAR_FULL = 0.25;
-    static final double NEAR_FULL_TANDEM = 0.6;
-    static final double WEIGHT_UP = 1.1;
-    static final double WEIGHT_DOWN = 0.6;
+    static final double NEAR_FULL_TANDEM = 1.0;
+    static final double WEIGHT_UP = 1.3;
+    static final double WEIGHT_DOWN = 0.5;
     static final double WEIGHT_LEAST = 0.05;
 
+    // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
+    static final double FULL_WORK = 0.8;
+    static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
+
     enum Reason { SHARE, FULL, PRESSED, COLD, DOWN }
 
-    sealed interface Note { }
+    /** A note in an inbox; it knows which part of its reader takes it. */
+    interface Note<A> {
+        void readBy(A actor);
+    }
 
-    record Offered(Contact contact) implements Note { }
+    record Offered(Contact contact) implements Note<Front> {
+        public void readBy(Front front) { front.offered(contact); }
+    }
 
-    record Stood(long contact, Span took) implements Note { }
+    record Answered(long contact) implements Note<Front> {
+        public void readBy(Front front) { front.answered(contact); }
+    }
 
-    record Ended(RingEnd end) implements Note { }
+    record Over(RingEnd end) implements Note<Front> {
+        public void readBy(Front front) { front.over(end); }
+    }
 
-    record CallerGone(long contact) implements Note { }
+    record CallerGone(long contact) implements Note<Front> {
+        public void readBy(Front front) { front.callerGone(contact); }
+    }
 
-    record Rung(long contact) implements Note { }
+    record Rung(long contact) implements Note<Front> {
+        public void readBy(Front front) { front.rung(contact); }
+    }
 
-    record Ask(long contact, int skill, int width, boolean transit, boolean first, long dialled, int hint,
-               Moment waitUntil, long spurned) implements Note { }
+    record Granted(long contact, Switch target) implements Note<Front> {
+        public void readBy(Front front) { front.granted(contact, target); }
+    }
 
-    record Through(Ask ask, Switch destination, List<Switch> others) implements Note { }
+    record Denied(long contact, Reason reason) implements Note<Front> {
+        public void readBy(Front front) { front.denied(contact, reason); }
+    }
 
-    record Requeue(Ask ask) implements Note { }
+    record Queued(long contact) implements Note<Front> {
+        public void readBy(Front front) { front.queued(contact); }
+    }
 
-    record Granted(long contact, Switch target) implements Note { }
+    record Tick(Switch asker) implements Note<Front> {
+        public void readBy(Front front) { front.tick(asker); }
+    }
 
-    record Denied(long contact, Reason reason) implements Note { }
+    record Ask(long contact, int skill, int width, boolean transit, boolean first, long dialled,
+               Moment waitUntil, long spurned) implements Note<Switch> {
+        public void readBy(Switch to) { to.asked(this); }
 
-    record Queued(long contact, Switch destination) implements Note { }
+        Ask again() { return new Ask(contact, skill, width, transit, false, dialled, waitUntil, spurned); }
+    }
 
-    record Withdraw(long contact) implements Note { }
+    record Through(Ask ask, Switch destination, List<Switch> others) implements Note<Switch> {
+        public void readBy(Switch to) { to.through(this); }
+    }
 
-    record Return(long contact) implements Note { }
+    record NoTandem(Ask ask) implements Note<Switch> {
+        public void readBy(Switch to) { to.refuse(ask, Reason.FULL); }
+    }
 
-    record Serve() implements Note { }
+    record Stood(long contact, Span took) implements Note<Switch> {
+        public void readBy(Switch to) { to.stood(contact, took); }
+    }
 
-    record Tick(Switch asker) implements Note { }
+    record Ended(RingEnd end) implements Note<Switch> {
+        public void readBy(Switch to) { to.ended(end); }
+    }
+
+    record Return(long contact) implements Note<Switch> {
+        public void readBy(Switch to) { to.giveBack(contact); }
+    }
+
+    record Withdraw(long contact) implements Note<Switch> {
+        public void readBy(Switch to) { to.waiting.removeIf(ask -> ask.contact == contact); }
+    }
+
+    record Serve() implements Note<Switch> {
+        public void readBy(Switch to) { to.tickRung(); }
+    }
 
-    record Told(SwitchLine line) implements Note { }
+    record Told(SwitchLine line) implements Note<Switch> {
+        public void readBy(Switch to) { to.listed(line); }
+    }
 
-    record Reported(float[] report) implements Note { }
+    record Reported(float[] report) implements Note<Switch> {
+        public void readBy(Switch to) { to.reported(report); }
+    }
 
-    record Judge(long tandem, boolean well) implements Note { }
+    record Judge(long tandem, boolean well) implements Note<Switch> {
+        public void readBy(Switch to) { to.judge(tandem, well); }
+    }
 
     /** A skill as the settings describe it; rank 0 is the urgent one, the table row its place in the paper. */
     record Skill(int rank, int row, int width, double value, Span target, Span hold, Span patience) { }
@@ -97,13 +135,17 @@
             halved = now;
         }
 
-        void add(Span span, Moment now) {
+        private void age(Moment now) {
             while (now.since(halved).longerThan(period)) {
                 halved = now.since(halved).longerThan(period.times(8)) ? now : halved.plus(period);
                 for (int i = 0; i < BINS; i++) {
                     bins[i] /= 2;
                 }
             }
+        }
+
+        void add(Span span, Moment now) {
+            age(now);
             int bin = BINS - 1;
             for (Span edge = scale; bin > 0 && edge.longerThan(span); edge = edge.times(0.5)) {
                 bin--;
@@ -112,7 +154,8 @@
         }
 
         /** The upper edge of the bin that holds this part of what was seen; zero where too little was. */
-        Span quantile(double part) {
+        Span quantile(double part, Moment now) {
+            age(now);
             double total = Arrays.stream(bins).sum();
             double left = total * part;
             for (int i = 0; total >= 1 && i < BINS; i++) {
@@ -159,29 +202,31 @@
         }
     }
 
-    abstract class Actor {
-        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
+    class Actor<A extends Actor<A>> {
+        private final ArrayDeque<Note<A>> inbox = new ArrayDeque<>();
 
-        final void put(Note note) {
+        final void put(Note<A> note) {
             if (inbox.isEmpty()) {
                 busy.add(this);
             }
             inbox.add(note);
         }
 
+        @SuppressWarnings("unchecked")
         final void empty() {
             while (!inbox.isEmpty()) {
-                read(inbox.peek());
+                inbox.peek().readBy((A) this);
                 inbox.poll();
             }
         }
-
-        abstract void read(Note note);
     }
 
+    /** A ring's circuits on the group; since is null once the contact stands. */
     private record Held(int skill, int width, Moment since) { }
 
-    final class Switch extends Actor {
+    private record Weight(double then, Moment at) { }
+
+    final class Switch extends Actor<Switch> {
         final long id;
         int number = -1;
         SwitchLine.State state = SwitchLine.State.GONE;
@@ -190,63 +235,32 @@
         int size;
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
-        final Tally urgent = new Tally(skills[urgentSkill].hold, now);
+        final Tally urgent = new Tally(urgentOne.hold, now);
         final Map<Long, Moment> wanted = new LinkedHashMap<>();
-        final Map<Long, Double> weights = new TreeMap<>();
+        final Map<Long, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking;
-        final Spans setUps = new Spans(patienceMost, skills[urgentSkill].target, now);
-        final Tally sent = new Tally(skills[urgentSkill].target, now);
+        final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
+        final Tally sent = new Tally(urgentOne.target, now);
         double warmRate;
         double budget;
         Moment budgetAt = now;
         Moment lastSign = now;
-        Moment lastTrial = new Moment(Long.MIN_VALUE / 2);
-        Moment fullUntil = new Moment(Long.MIN_VALUE / 2);
+        Moment lastTrial = NEVER;
+        Moment fullUntil = NEVER;
+        Moment toldAt = NEVER;
         double cutBy;
+        double usual;
         Span wait = Span.ZERO;
 
         Switch(long id) {
             this.id = id;
         }
 
-        @Override
-        void read(Note note) {
-            if (note instanceof Ask ask) {
-                asked(ask);
-            } else if (note instanceof Through through) {
-                through(through);
-            } else if (note instanceof Stood stood) {
-                Held ring = rings.get(stood.contact);
-                setUps.add(stood.took, now);
-                lastSign = now;
-                if (ring != null) {
-                    rings.put(stood.contact, new Held(ring.skill, ring.width, null));
-                }
-            } else if (note instanceof Ended ended) {
-                ended(ended.end);
-            } else if (note instanceof Reported told) {
-                reported(told.report);
-                serve();
-            } else if (note instanceof Return back) {
-                giveBack(back.contact);
-            } else if (note instanceof Requeue again) {
-                if (now.before(again.ask.waitUntil)) {
-                    queue(again.ask);
-                } else {
-                    front.put(new Denied(again.ask.contact, Reason.FULL));
-                }
-            } else if (note instanceof Withdraw gone) {
-                waiting.removeIf(ask -> ask.contact == gone.contact);
-            } else if (note instanceof Serve) {
-                ticking = false;
-                serve();
-            } else if (note instanceof Told told) {
-                listed(told.line);
-            } else if (note instanceof Judge judge) {
-                double weight = weights.getOrDefault(judge.tandem, 1.0) * (judge.well ? WEIGHT_UP : WEIGHT_DOWN);
-                weights.put(judge.tandem, Math.max(WEIGHT_LEAST, Math.min(1, weight)));
-            }
+        void stood(long contact, Span took) {
+            setUps.add(took, now);
+            lastSign = now;
+            rings.computeIfPresent(contact, (id, ring) -> new Held(ring.skill, ring.width, null));
         }
 
         void listed(SwitchLine line) {
@@ -259,8 +273,7 @@
                 budget = 0;
                 budgetAt = now;
                 lastSign = now;
-                cutBy = 0;
-                wait = Span.ZERO;
+                toldAt = NEVER;
             }
         }
 
@@ -270,27 +283,33 @@
                 size = Math.round(report[1]);
             }
             for (int i = 2; i < report.length && i < fields.size(); i++) {
-                if (report[i] < 0) {
+                double value = report[i];
+                if (value < 0) {
                     continue;
                 }
+                toldAt = now;
                 switch (fields.get(i)) {
-                    case "cut_by" -> cutBy = report[i];
-                    case "mean_ms" -> wait = Span.ofMillis(report[i]);
+                    case "cut_by" -> cutBy = value;
+                    case "mean_ms" -> wait = Span.ofMillis(value);
+                    case "allowed" -> {
+                        usual += (value - usual) * (value > usual ? 0.2 : 0.002);
+                        cutBy = Math.max(0, 1 - value / usual / FULL_WORK);
+                    }
                     default -> { }
                 }
             }
+            serve();
         }
 
         void ended(RingEnd end) {
             giveBack(end.contact());
-            reported(end.report());
             if (end.cause() == Cause.TURNED_BACK || end.cause() == Cause.CONCLUDED || end.cause() == Cause.BUSY) {
                 lastSign = now;
             }
             if (end.cause() == Cause.TURNED_BACK && end.blame() == Blame.PROCESSOR) {
-                fullUntil = now.plus(end.stayAway().least(skills[urgentSkill].target.times(0.2)));
+                fullUntil = now.plus(end.stayAway().least(urgentOne.target.times(0.2)));
             }
-            serve();
+            reported(end.report());
         }
 
         void giveBack(long contact) {
@@ -304,6 +323,7 @@
             rings.put(ask.contact, new Held(ask.skill, ask.width, now));
             held[ask.skill] += ask.width;
             free -= ask.width;
+            sent.add(1, now);
             front.put(new Granted(ask.contact, this));
         }
 
@@ -318,23 +338,18 @@
 
         /** Circuits that no ring from here explains were placed at the far end: they count as the cheapest. */
         int holds(int skill) {
-            int unknown = skill == cheapest ? Math.max(0, size - free - Arrays.stream(held).sum()) : 0;
-            return held[skill] + unknown;
-        }
-
-        double share(int skill, int stage) {
-            return SHARES[stage][skills[skill].row] + (skill == cheapest ? absentShare(stage) : 0);
+            return held[skill] + (skill == cheapest ? Math.max(0, size - free - Arrays.stream(held).sum()) : 0);
         }
 
         /** In the first stage a class may fill the group; later it has its share and what others leave idle. */
-        double limit(int skill, boolean tandem) {
+        double limit(int skill) {
             int stage = stage();
-            if (stage == 0 && !tandem) {
+            if (stage == 0) {
                 return size;
             }
             double limit = share(skill, stage) * size;
             for (int other = 0; other < skills.length; other++) {
-                if (other != skill && (skill == urgentSkill || other != urgentSkill)) {
+                if (other != skill && skills[other].rank > 0) {
                     limit += Math.max(0, share(other, stage) * size - holds(other));
                 }
             }
@@ -343,24 +358,19 @@
 
         /** Null where the group takes the contact, else why not. */
         Reason admits(Ask ask, boolean tandem) {
-            if (free < ask.width) {
+            if (free < ask.width || reserved(ask)) {
                 return Reason.FULL;
             }
-            double root = Math.sqrt(size);
-            boolean urgentOne = skills[ask.skill].rank == 0;
-            double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * root, widest);
-            if (free - ask.width >= level || urgentOne) {
+            double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * Math.sqrt(size), widest);
+            if (skills[ask.skill].rank == 0 || free - ask.width >= level) {
                 return null;
             }
-            if (tandem) {
-                return Reason.SHARE;
-            }
-            return holds(ask.skill) + ask.width <= limit(ask.skill, false) ? null : Reason.SHARE;
+            return !tandem && holds(ask.skill) + ask.width <= limit(ask.skill) ? null : Reason.SHARE;
         }
 
         /** Rings out and no word for longer than set-ups here take: it may be hung, cut off or very slow. */
         boolean silent() {
-            Span longest = setUps.quantile(0.9).times(2).least(skills[urgentSkill].target);
+            Span longest = setUps.quantile(0.9, now).times(2).least(urgentOne.target);
             for (Held ring : rings.values()) {
                 if (ring.since != null) {
                     return lastSign.before(ring.since) && now.since(ring.since).longerThan(longest);
@@ -370,38 +380,38 @@
         }
 
         double coldPart() {
-            if (started == null) {
-                return 1;
-            }
-            double age = now.since(started).over(warmWithin);
-            return age >= 1 ? 1 : coldShare + (1 - coldShare) * Math.max(0, age) * Math.max(0, age);
+            double age = started == null ? 1 : Math.max(0, now.since(started).over(warmWithin));
+            return age >= 1 ? 1 : coldShare + (1 - coldShare) * age * age;
         }
 
         /** Each exchange sends a cold processor only its own usual part, cut as the processor's capacity is. */
-        boolean spendCold(boolean urgentOne) {
+        boolean spendCold(int skill) {
             double part = coldPart();
             if (part >= 1) {
                 return true;
             }
-            double rate = Math.max(warmRate, 0.2) * part * 0.8;
+            double rate = Math.max(warmRate, 0.2) * part * FULL_WORK;
             budget = Math.min(2, budget + rate * now.since(budgetAt).ns() / 1e9);
             budgetAt = now;
-            if (budget < (urgentOne ? 1 : 1.5)) {
+            if (budget < (skills[skill].rank == 0 ? 1 : 1.5)) {
                 return false;
             }
             budget--;
             return true;
         }
 
-        /** The part of contacts of this skill to keep back from this processor. */
+        /** The part of the contacts of this skill to keep back from this processor. */
         double pressure(int skill) {
             if (now.before(fullUntil)) {
                 return 1;
             }
             Skill kind = skills[skill];
-            Span delay = setUps.quantile(0.5).least(wait);
-            double slow = delay.over(kind.target);
-            return kind.rank == 0 ? ramp(slow, 1.0, 2.0) : Math.max(cutBy, ramp(slow, 0.35, 0.85));
+            Span age = toldAt == NEVER ? patienceMost : now.since(toldAt);
+            // An old report must not shut a switch for good: with nothing sent there, no better one comes.
+            double fresh = Math.pow(0.5, age.over(urgentOne.target));
+            double slow = (fields.size() > 2 && this != home() ? wait.times(fresh)
+                    : setUps.quantile(this == home() ? 0.25 : 0.5, now)).over(kind.target);
+            return kind.rank == 0 ? ramp(slow, 1, 2) : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
         }
 
         Reason processor(Ask ask) {
@@ -409,34 +419,51 @@
                 return Reason.DOWN;
             }
             if (silent()) {
-                if (now.since(lastTrial).longerThan(skills[urgentSkill].target)) {
-                    lastTrial = now;
-                    return null;
-                }
-                return Reason.DOWN;
+                boolean trial = now.since(lastTrial).longerThan(urgentOne.target);
+                lastTrial = trial ? now : lastTrial;
+                return trial ? null : Reason.DOWN;
             }
             double back = pressure(ask.skill);
             return back > 0 && chance.nextDouble() < back ? Reason.PRESSED : null;
         }
 
         void asked(Ask ask) {
-            boolean urgentOne = skills[ask.skill].rank == 0;
-            if (ask.first && urgentOne) {
+            if (ask.first && skills[ask.skill].rank == 0) {
                 want(ask);
             }
             Reason reason = processor(ask);
-            if (reason == null) {
-                reason = place(ask);
+            if (reason == null && (reason = admits(ask, ask.transit)) == null
+                    && (reason = spendCold(ask.skill) ? null : Reason.COLD) == null) {
+                take(ask);
+                return;
             }
-            if (reason == Reason.DOWN || reason == Reason.SHARE || ask.transit && reason != null) {
-                front.put(new Denied(ask.contact, reason));
-            } else if (reason == Reason.PRESSED || reason == Reason.COLD) {
-                if (urgentOne && now.before(ask.waitUntil)) {
-                    queue(ask);
-                } else {
-                    front.put(new Denied(ask.contact, reason));
+            if (reason == Reason.FULL && !ask.transit && coldPart() >= 1) {
+                List<Switch> drawn = draw(ask);
+                if (!drawn.isEmpty()) {
+                    drawn.get(0).put(new Through(ask, this, drawn.subList(1, drawn.size())));
+                    return;
                 }
             }
+            refuse(ask, reason);
+        }
+
+        /** Only what may still pay within its answer target waits: a circuit that frees, or the dearest skill. */
+        void refuse(Ask ask, Reason reason) {
+            boolean may = reason == Reason.FULL || skills[ask.skill].rank == 0 && reason != Reason.DOWN;
+            if (ask.transit || !may || !now.before(ask.waitUntil)) {
+                front.put(new Denied(ask.contact, reason));
+                return;
+            }
+            int at = 0;
+            while (at < waiting.size() && skills[waiting.get(at).skill].rank <= skills[ask.skill].rank) {
+                at++;
+            }
+            waiting.add(at, ask);
+            front.put(new Queued(ask.contact));
+            if (!ticking) {
+                ticking = true;
+                front.put(new Tick(this));
+            }
         }
 
         /** One blocked caller who asks again is one want, so a number counts once while it may still redial. */
@@ -447,41 +474,27 @@
             }
         }
 
-        /** Direct where there is room, else over a tandem; null where the contact is on its way or waits. */
-        Reason place(Ask ask) {
-            Reason reason = reserved(ask) ? Reason.FULL : admits(ask, ask.transit);
-            if (reason == null) {
-                if (!spendCold(skills[ask.skill].rank == 0)) {
-                    return Reason.COLD;
-                }
-                sent.add(1, now);
-                take(ask);
-                return null;
-            }
-            if (ask.transit || reason == Reason.SHARE) {
-                return reason;
-            }
-            List<Switch> drawn = coldPart() < 1 ? List.of() : draw(ask);
-            if (drawn.isEmpty()) {
-                put(new Requeue(ask));
-            } else {
-                drawn.get(0).put(new Through(ask, this, drawn.subList(1, drawn.size())));
-            }
-            return null;
-        }
-
         /** Circuits that come free are first for those of a dearer skill that wait for them. */
         boolean reserved(Ask ask) {
             int ahead = 0;
             for (Ask other : waiting) {
-                if (skills[other.skill].rank < skills[ask.skill].rank) {
-                    ahead += other.width;
-                }
+                ahead += skills[other.skill].rank < skills[ask.skill].rank ? other.width : 0;
             }
             return ahead > 0 && free < ahead + ask.width;
         }
 
-        /** All tandems in an order drawn by their weights. */
+        double weight(Switch tandem) {
+            Weight weight = weights.get(tandem.id);
+            return weight == null ? 1
+                    : 1 - (1 - weight.then) * Math.pow(0.5, now.since(weight.at).over(urgentOne.hold));
+        }
+
+        void judge(long tandem, boolean well) {
+            double weight = weight(at(tandem)) * (well ? WEIGHT_UP : WEIGHT_DOWN);
+            weights.put(tandem, new Weight(Math.max(WEIGHT_LEAST, Math.min(1, weight)), now));
+        }
+
+        /** Tandems in an order drawn by weight; where weights are low a cheap contact often gets none. */
         List<Switch> draw(Ask ask) {
             List<Switch> left = new ArrayList<>();
             for (Switch other : switches.values()) {
@@ -491,16 +504,15 @@
             }
             List<Switch> drawn = new ArrayList<>();
             while (!left.isEmpty()) {
-                double total = 0;
-                for (Switch other : left) {
-                    total += weights.getOrDefault(other.id, 1.0);
-                }
-                double at = chance.nextDouble() * total;
+                double at = chance.nextDouble() * left.stream().mapToDouble(this::weight).sum();
                 int picked = 0;
-                while (picked < left.size() - 1 && (at -= weights.getOrDefault(left.get(picked).id, 1.0)) > 0) {
+                while (picked < left.size() - 1 && (at -= weight(left.get(picked))) > 0) {
                     picked++;
                 }
-                drawn.add(left.remove(picked));
+                Switch tandem = left.remove(picked);
+                if (skills[ask.skill].rank == 0 || chance.nextDouble() < weight(tandem)) {
+                    drawn.add(tandem);
+                }
             }
             return drawn;
         }
@@ -509,31 +521,18 @@
             Ask ask = through.ask;
             if (coldPart() >= 1 && state == SwitchLine.State.READY && !silent()
                     && pressure(ask.skill) == 0 && admits(ask, true) == null) {
-                sent.add(1, now);
                 take(ask);
             } else if (through.others.isEmpty()) {
-                through.destination.put(new Requeue(ask));
+                through.destination.put(new NoTandem(ask));
             } else {
                 List<Switch> others = through.others;
                 others.get(0).put(new Through(ask, through.destination, others.subList(1, others.size())));
             }
         }
 
-        void queue(Ask ask) {
-            int at = 0;
-            while (at < waiting.size() && skills[waiting.get(at).skill].rank <= skills[ask.skill].rank) {
-                at++;
-            }
-            waiting.add(at, ask);
-            front.put(new Queued(ask.contact, this));
-            if (!ticking) {
-                tick();
-            }
-        }
-
-        void tick() {
-            ticking = true;
-            front.put(new Tick(this));
+        void tickRung() {
+            ticking = false;
+            serve();
         }
 
         void serve() {
@@ -541,8 +540,7 @@
             waiting.clear();
             for (Ask ask : turns) {
                 if (now.before(ask.waitUntil)) {
-                    asked(new Ask(ask.contact, ask.skill, ask.width, false, false, ask.dialled, ask.hint,
-                            ask.waitUntil, ask.spurned));
+                    asked(ask.again());
                 }
             }
         }
@@ -550,80 +548,86 @@
 
     enum Doing { SEEKING, WAITING, RINGING, RELEASING }
 
-    private static final class Open {
+    private final class Open {
         final Contact contact;
+        final int kind;
         final Moment end;
-        final Moment worthUntil;
+        Moment worthUntil;
         Doing doing = Doing.SEEKING;
         int rings;
         boolean asked;
         Switch at;
         Switch destination;
-        long spurned;
+        long spurned = -1;
         Moment seekAt;
 
-        Open(Contact contact, Moment end, Moment worthUntil) {
+        Open(Contact contact, int kind, Moment end) {
             this.contact = contact;
+            this.kind = kind;
             this.end = end;
-            this.worthUntil = worthUntil;
+        }
+
+        Skill skill() {
+            return skills[kind];
         }
     }
 
-    final class Front extends Actor {
+    final class Front extends Actor<Front> {
         final Map<Long, Open> open = new LinkedHashMap<>();
 
-        @Override
-        void read(Note note) {
-            if (note instanceof Offered offered) {
-                offered(offered.contact);
-            } else if (note instanceof Stood stood) {
-                Open one = open.remove(stood.contact);
-                if (one != null && one.at != one.destination) {
-                    one.destination.put(new Judge(one.at.id, true));
-                }
-            } else if (note instanceof Ended ended) {
-                ended(ended.end);
-            } else if (note instanceof CallerGone gone) {
-                Open one = open.remove(gone.contact);
-                if (one != null) {
-                    letGo(one);
-                }
-            } else if (note instanceof Granted granted) {
-                ring(granted);
-            } else if (note instanceof Denied denied) {
-                Open one = open.get(denied.contact);
-                if (one != null) {
-                    defer(one, denied.reason);
-                }
-            } else if (note instanceof Queued queued) {
-                Open one = open.get(queued.contact);
-                if (one != null && one.doing == Doing.SEEKING) {
-                    one.doing = Doing.WAITING;
-                    clock(one, one.worthUntil);
-                }
-            } else if (note instanceof Rung rung) {
-                rung(open.get(rung.contact));
-            } else if (note instanceof Tick tick) {
-                orders.clock(skills[urgentSkill].target.times(0.04).least(round), tick.asker.id * 2 + 1);
+        void answered(long contact) {
+            Open one = open.remove(contact);
+            if (one != null && one.at != one.destination) {
+                one.destination.put(new Judge(one.at.id, true));
+            }
+        }
+
+        void callerGone(long contact) {
+            Open one = open.remove(contact);
+            if (one != null) {
+                letGo(one);
+            }
+        }
+
+        void denied(long contact, Reason reason) {
+            Open one = open.get(contact);
+            if (one != null) {
+                defer(one, reason);
             }
         }
 
+        void queued(long contact) {
+            Open one = open.get(contact);
+            if (one != null && one.doing == Doing.SEEKING) {
+                one.doing = Doing.WAITING;
+                clock(one, one.worthUntil);
+            }
+        }
+
+        void tick(Switch asker) {
+            orders.clock(urgentOne.target.times(0.04).least(round), asker.id * 2 + 1);
+        }
+
         void clock(Open one, Moment at) {
             orders.clock(at.since(now).least(round), one.contact.id() * 2);
         }
 
         void offered(Contact contact) {
-            Skill skill = skills[Math.min(contact.skill(), skills.length - 1)];
             // Two rounds early: a clock is heard up to a round late, and an answer after the end counts as none.
             Moment end = now.plus(contact.patience()).plus(round.times(-2));
-            Moment worth = now.plus(skill.target.times(0.75));
-            Open one = new Open(contact, end, worth.before(end) ? worth : end);
+            Open one = new Open(contact, Math.min(contact.skill(), skills.length - 1), end);
+            Moment worth = now.plus(one.skill().target.times(0.75));
+            one.worthUntil = worth.before(end) ? worth : end;
             open.put(contact.id(), one);
             if (!now.before(end)) {
                 defer(one, Reason.FULL);
                 return;
             }
             clock(one, end);
+            if (home() != null && chance.nextDouble() < home().pressure(one.kind)) {
+                defer(one, Reason.PRESSED);
+                return;
+            }
             seek(one);
         }
 
@@ -637,24 +641,23 @@
             one.doing = Doing.SEEKING;
             boolean first = !one.asked;
             one.asked = true;
-            one.destination.put(new Ask(contact.id(), Math.min(contact.skill(), skills.length - 1),
-                    Math.max(1, contact.width()), contact.inTransit(), first, contact.dialled(), contact.hint(),
-                    one.worthUntil, one.spurned));
+            one.destination.put(new Ask(contact.id(), one.kind, Math.max(1, contact.width()), contact.inTransit(),
+                    first, contact.dialled(), one.worthUntil, one.spurned));
         }
 
-        void ring(Granted granted) {
-            Open one = open.get(granted.contact);
+        void granted(long contact, Switch target) {
+            Open one = open.get(contact);
             if (one == null || one.doing == Doing.RINGING || one.doing == Doing.RELEASING || !now.before(one.end)) {
-                granted.target.put(new Return(granted.contact));
+                target.put(new Return(contact));
                 return;
             }
             one.doing = Doing.RINGING;
-            one.at = granted.target;
+            one.at = target;
             one.rings++;
-            orders.ring(one.contact.id(), granted.target.id, one.end.since(now));
+            orders.ring(contact, target.id, one.end.since(now));
         }
 
-        void ended(RingEnd end) {
+        void over(RingEnd end) {
             Open one = open.get(end.contact());
             if (one == null || end.ring() != one.rings - 1) {
                 return;
@@ -668,7 +671,6 @@
                 one.destination.put(new Judge(one.at.id, false));
                 one.spurned = one.at.id;
             }
-            boolean urgentOne = skills[Math.min(one.contact.skill(), skills.length - 1)].rank == 0;
             if (one.contact.inTransit()) {
                 defer(one, Reason.FULL);
                 return;
@@ -677,37 +679,33 @@
                 case TIMED_OUT, CUT, CALLED_OFF -> {
                     Moment again = now.plus(release).plus(round);
                     if (again.before(one.worthUntil)) {
-                        one.doing = Doing.RELEASING;
-                        one.seekAt = again;
-                        clock(one, again);
+                        seekAt(one, again);
                     } else {
                         abandon(one);
                     }
                 }
                 case TURNED_BACK, NOT_SENT, UNREACHABLE -> {
                     boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
-                    if (now.before(one.worthUntil) && (!pressed || tandem || urgentOne)) {
-                        one.doing = Doing.RELEASING;
-                        one.seekAt = now;
-                        seekLater(one, pressed);
-                    } else {
+                    if (!now.before(one.worthUntil) || pressed && one.skill().rank > 0) {
                         defer(one, pressed ? Reason.PRESSED : Reason.FULL);
+                    } else if (pressed) {
+                        seekAt(one, now.plus(urgentOne.target.times(0.15)));
+                    } else {
+                        seek(one);
                     }
                 }
                 default -> defer(one, Reason.FULL);
             }
         }
 
-        void seekLater(Open one, boolean pressed) {
-            if (pressed) {
-                one.seekAt = now.plus(skills[urgentSkill].target.times(0.15));
-                clock(one, one.seekAt);
-            } else {
-                seek(one);
-            }
+        void seekAt(Open one, Moment at) {
+            one.doing = Doing.RELEASING;
+            one.seekAt = at;
+            clock(one, at);
         }
 
-        void rung(Open one) {
+        void rung(long contact) {
+            Open one = open.get(contact);
             if (one == null) {
                 return;
             }
@@ -748,10 +746,10 @@
     private final Orders orders;
     private final SplittableRandom chance;
     private Moment now;
-    private final ArrayDeque<Actor> busy = new ArrayDeque<>();
+    private final ArrayDeque<Actor<?>> busy = new ArrayDeque<>();
     private final Map<Long, Switch> switches = new TreeMap<>();
     private final Skill[] skills;
-    private int urgentSkill;
+    private Skill urgentOne;
     private int cheapest;
     private int widest = 1;
     private Span patienceMost = Span.ZERO;
@@ -811,7 +809,7 @@
             widest = Math.max(widest, width);
             patienceMost = patienceMost.least(all[skill].patience);
         }
-        urgentSkill = byValue[0];
+        urgentOne = all[byValue[0]];
         cheapest = byValue[count - 1];
         return all;
     }
@@ -821,12 +819,12 @@
     }
 
     /** Shares of the paper's classes that no skill here plays go to the cheapest, so none is stranded. */
-    double absentShare(int stage) {
+    double share(int skill, int stage) {
         double left = 1;
-        for (Skill skill : skills) {
-            left -= SHARES[stage][skill.row];
+        for (Skill other : skills) {
+            left -= SHARES[stage][other.row];
         }
-        return Math.max(0, left);
+        return SHARES[stage][skills[skill].row] + (skill == cheapest ? Math.max(0, left) : 0);
     }
 
     static double ramp(double value, double from, double to) {
@@ -885,7 +883,10 @@
     public void stands(Moment at, long contact, int ring, long target, Span took) {
         now = at;
         at(target).put(new Stood(contact, took));
-        front.put(new Stood(contact, took));
+        if (home() != null) {
+            home().put(new Stood(contact, took));
+        }
+        front.put(new Answered(contact));
         loop();
     }
 
@@ -893,7 +894,7 @@
     public void ringEnded(Moment at, RingEnd end) {
         now = at;
         at(end.target()).put(new Ended(end));
-        front.put(new Ended(end));
+        front.put(new Over(end));
         loop();
     }
 
