--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -72,10 +72,12 @@
     }
 
     record Ask(long contact, int skill, int width, boolean transit, boolean first, long dialled,
-               Moment waitUntil, long spurned) implements Note<Switch> {
+               Moment waitUntil, long spurned, boolean tandemTried) implements Note<Switch> {
         public void readBy(Switch to) { to.asked(this); }
 
-        Ask again() { return new Ask(contact, skill, width, transit, false, dialled, waitUntil, spurned); }
+        Ask again() {
+            return new Ask(contact, skill, width, transit, false, dialled, waitUntil, spurned, tandemTried);
+        }
     }
 
     record Through(Ask ask, Switch destination, List<Switch> others) implements Note<Switch> {
@@ -437,7 +439,8 @@
                 take(ask);
                 return;
             }
-            if (reason == Reason.FULL && !ask.transit && coldPart() >= 1) {
+            if (reason == Reason.FULL && !ask.transit && coldPart() >= 1
+                    && (skills[ask.skill].rank == 0 || !ask.tandemTried)) {
                 List<Switch> drawn = draw(ask);
                 if (!drawn.isEmpty()) {
                     drawn.get(0).put(new Through(ask, this, drawn.subList(1, drawn.size())));
@@ -642,7 +645,7 @@
             boolean first = !one.asked;
             one.asked = true;
             one.destination.put(new Ask(contact.id(), one.kind, Math.max(1, contact.width()), contact.inTransit(),
-                    first, contact.dialled(), one.worthUntil, one.spurned));
+                    first, contact.dialled(), one.worthUntil, one.spurned, one.spurned >= 0));
         }
 
         void granted(long contact, Switch target) {
