--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -897,6 +897,10 @@
     public void ringEnded(Moment at, RingEnd end) {
         now = at;
         at(end.target()).put(new Ended(end));
+        if (home() != null && end.cause() == Cause.TIMED_OUT) {
+            // A jammed own processor lets nothing stand: what timed out must count as a slow set-up there.
+            home().put(new Stood(end.contact(), end.took()));
+        }
         front.put(new Over(end));
         loop();
     }
