--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -411,8 +411,9 @@
             Span age = toldAt == NEVER ? patienceMost : now.since(toldAt);
             // An old report must not shut a switch for good: with nothing sent there, no better one comes.
             double fresh = Math.pow(0.5, age.over(urgentOne.target));
-            double slow = (fields.size() > 2 && this != home() ? wait.times(fresh)
-                    : setUps.quantile(this == home() ? 0.25 : 0.5, now)).over(kind.target);
+            Span rings = this == home() ? setUps.quantile(0.25, now)
+                    : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
+            double slow = wait.times(fresh).least(rings).over(kind.target);
             return kind.rank == 0 ? ramp(slow, 1, 2) : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
         }
 
@@ -577,6 +578,7 @@
 
     final class Front extends Actor<Front> {
         final Map<Long, Open> open = new LinkedHashMap<>();
+        Moment probedAt = NEVER;
 
         void answered(long contact) {
             Open one = open.remove(contact);
@@ -627,6 +629,10 @@
                 return;
             }
             clock(one, end);
+            if (home() != null && mayProbe && now.since(probedAt).longerThan(urgentOne.target.times(0.4))) {
+                probedAt = now;
+                orders.probe(home().id);
+            }
             if (home() != null && chance.nextDouble() < home().pressure(one.kind)) {
                 defer(one, Reason.PRESSED);
                 return;
@@ -764,6 +770,7 @@
     private final double coldShare;
     private final int mostRings;
     private final boolean mayCallOff;
+    private final boolean mayProbe;
     private final int homeNumber;
     private final Front front = new Front();
 
@@ -780,6 +787,7 @@
         coldShare = number("guarantees.cold-share", 0.2);
         mostRings = (int) number("policy-limits.send-cap", 1);
         mayCallOff = "true".equals(settings.get("policy-limits.cancel"));
+        mayProbe = "true".equals(settings.get("policy-limits.probes"));
         homeNumber = (int) number("family-info.home-no", -1);
         fields = Arrays.asList(settings.getOrDefault("report.fields", "").split(","));
         skills = skills();
