--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -20,8 +20,9 @@
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
     static final double NEAR_FULL = 0.25;
     static final double NEAR_FULL_TANDEM = 1.0;
-    static final double WEIGHT_UP = 1.3;
+    static final double WEIGHT_UP = 0.3;
     static final double WEIGHT_DOWN = 0.5;
+    static final double WEIGHT_NEW = 0.6;
     static final double WEIGHT_LEAST = 0.05;
 
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
@@ -427,7 +428,7 @@
                 return trial ? null : Reason.DOWN;
             }
             double back = pressure(ask.skill);
-            return back > 0 && chance.nextDouble() < back ? Reason.PRESSED : null;
+            return back >= 1 || ask.first && chance.nextDouble() < back ? Reason.PRESSED : null;
         }
 
         void asked(Ask ask) {
@@ -489,13 +490,14 @@
 
         double weight(Switch tandem) {
             Weight weight = weights.get(tandem.id);
-            return weight == null ? 1
-                    : 1 - (1 - weight.then) * Math.pow(0.5, now.since(weight.at).over(urgentOne.hold));
+            return weight == null ? WEIGHT_NEW
+                    : 1 - (1 - weight.then) * Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
         }
 
         void judge(long tandem, boolean well) {
-            double weight = weight(at(tandem)) * (well ? WEIGHT_UP : WEIGHT_DOWN);
-            weights.put(tandem, new Weight(Math.max(WEIGHT_LEAST, Math.min(1, weight)), now));
+            double weight = weight(at(tandem));
+            weight = well ? weight + WEIGHT_UP * (1 - weight) : weight * WEIGHT_DOWN;
+            weights.put(tandem, new Weight(Math.max(WEIGHT_LEAST, weight), now));
         }
 
         /** Tandems in an order drawn by weight; where weights are low a cheap contact often gets none. */
@@ -514,9 +516,10 @@
                     picked++;
                 }
                 Switch tandem = left.remove(picked);
-                if (skills[ask.skill].rank == 0 || chance.nextDouble() < weight(tandem)) {
-                    drawn.add(tandem);
+                if (drawn.isEmpty() && skills[ask.skill].rank > 0 && chance.nextDouble() > weight(tandem)) {
+                    return drawn;
                 }
+                drawn.add(tandem);
             }
             return drawn;
         }
