--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -77,7 +77,7 @@
         public void readBy(Switch to) { to.asked(this); }
 
         Ask again() {
-            return new Ask(contact, skill, width, transit, false, dialled, waitUntil, spurned, tandemTried);
+            return new Ask(contact, skill, width, transit, false, dialled, waitUntil, spurned, true);
         }
     }
 
