Shorter module; a replaced machine no longer hides its successor

Cause: while a machine is replaced two ids bear one number, and the older id won. The own exchange's switch is now asked by note.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -27,109 +27,67 @@
 
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
+    // The part of its answer target that a contact may wait for a circuit; the rest is for the set-up.
+    static final double WORTH_WAITING = 0.75;
     static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
 
     enum Reason { SHARE, FULL, PRESSED, COLD, DOWN }
 
     /** A note in an inbox; it knows which part of its reader takes it. */
     interface Note<A> {
-        void readBy(A actor);
-    }
-
-    record Offered(Contact contact) implements Note<Front> {
-        public void readBy(Front front) { front.offered(contact); }
-    }
-
-    record Answered(long contact) implements Note<Front> {
-        public void readBy(Front front) { front.answered(contact); }
-    }
-
-    record Over(RingEnd end) implements Note<Front> {
-        public void readBy(Front front) { front.over(end); }
-    }
-
-    record CallerGone(long contact) implements Note<Front> {
-        public void readBy(Front front) { front.callerGone(contact); }
-    }
-
-    record Rung(long contact) implements Note<Front> {
-        public void readBy(Front front) { front.rung(contact); }
+        void to(A it);
     }
 
+    record Offered(Contact contact) implements Note<Front> { public void to(Front a) { a.offered(contact); } }
+    record Answered(long contact) implements Note<Front> { public void to(Front a) { a.answered(contact); } }
+    record Over(RingEnd end) implements Note<Front> { public void to(Front a) { a.over(end); } }
+    record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.callerGone(id); } }
+    record Rung(long contact) implements Note<Front> { public void to(Front a) { a.rung(contact); } }
+    record Tick(Switch asker) implements Note<Front> { public void to(Front a) { a.tick(asker); } }
+    record Denied(long contact) implements Note<Front> { public void to(Front a) { a.denied(contact); } }
     record Granted(long contact, Switch target) implements Note<Front> {
-        public void readBy(Front front) { front.granted(contact, target); }
+        public void to(Front a) { a.granted(contact, target); }
     }
 
-    record Denied(long contact, Reason reason) implements Note<Front> {
-        public void readBy(Front front) { front.denied(contact, reason); }
-    }
+    /** A contact looks for its next ring: first at the own exchange's switch, then at its destination's. */
+    record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil,
+               long spurned) implements Note<Switch> {
+        public void to(Switch a) { a.asked(this); }
 
-    record Queued(long contact) implements Note<Front> {
-        public void readBy(Front front) { front.queued(contact); }
-    }
-
-    record Tick(Switch asker) implements Note<Front> {
-        public void readBy(Front front) { front.tick(asker); }
-    }
+        int width() { return Math.max(1, contact.width()); }
 
-    record Ask(long contact, int skill, int width, boolean transit, boolean first, long dialled,
-               Moment waitUntil, long spurned, boolean tandemTried) implements Note<Switch> {
-        public void readBy(Switch to) { to.asked(this); }
-
-        Ask again() {
-            return new Ask(contact, skill, width, transit, false, dialled, waitUntil, spurned, true);
-        }
-    }
+        boolean urgent() { return skill.rank == 0; }
 
-    record Through(Ask ask, Switch destination, List<Switch> others) implements Note<Switch> {
-        public void readBy(Switch to) { to.through(this); }
+        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, spurned); }
     }
 
-    record NoTandem(Ask ask) implements Note<Switch> {
-        public void readBy(Switch to) { to.refuse(ask, Reason.FULL); }
+    record Through(Ask ask, List<Switch> others) implements Note<Switch> {
+        public void to(Switch a) { a.through(ask, others); }
     }
 
+    record NoTandem(Ask ask) implements Note<Switch> { public void to(Switch a) { a.noTandem(ask); } }
     record Stood(long contact, Span took) implements Note<Switch> {
-        public void readBy(Switch to) { to.stood(contact, took); }
+        public void to(Switch a) { a.stood(contact, took); }
     }
 
-    record Ended(RingEnd end) implements Note<Switch> {
-        public void readBy(Switch to) { to.ended(end); }
+    record Ended(RingEnd end) implements Note<Switch> { public void to(Switch a) { a.ended(end); } }
+    record Return(long id) implements Note<Switch> { public void to(Switch a) { a.giveBack(id); } }
+    record Withdraw(long id) implements Note<Switch> { public void to(Switch a) { a.withdraw(id); } }
+    record Serve() implements Note<Switch> { public void to(Switch a) { a.tickRung(); } }
+    record Told(SwitchLine line) implements Note<Switch> { public void to(Switch a) { a.listed(line); } }
+    record Reported(float[] says) implements Note<Switch> { public void to(Switch a) { a.reported(says); } }
+    record Judge(Switch tandem, boolean well) implements Note<Switch> {
+        public void to(Switch a) { a.judge(tandem, well); }
     }
 
-    record Return(long contact) implements Note<Switch> {
-        public void readBy(Switch to) { to.giveBack(contact); }
-    }
+    /** A skill as the settings describe it; rank 0 is the urgent one, the row its place in the paper. */
+    record Skill(int id, int rank, int row, int width, Span target, Span hold, Span patience) { }
 
-    record Withdraw(long contact) implements Note<Switch> {
-        public void readBy(Switch to) { to.waiting.removeIf(ask -> ask.contact == contact); }
-    }
-
-    record Serve() implements Note<Switch> {
-        public void readBy(Switch to) { to.tickRung(); }
-    }
-
-    record Told(SwitchLine line) implements Note<Switch> {
-        public void readBy(Switch to) { to.listed(line); }
-    }
-
-    record Reported(float[] report) implements Note<Switch> {
-        public void readBy(Switch to) { to.reported(report); }
-    }
-
-    record Judge(long tandem, boolean well) implements Note<Switch> {
-        public void readBy(Switch to) { to.judge(tandem, well); }
-    }
-
-    /** A skill as the settings describe it; rank 0 is the urgent one, the table row its place in the paper. */
-    record Skill(int rank, int row, int width, double value, Span target, Span hold, Span patience) { }
-
-    /** A histogram of spans over doubling bins below a scale, halved each time its period has passed. */
+    /** A histogram of spans over doubling bins below a scale, halved as each period has passed. */
     static final class Spans {
         static final int BINS = 8;
         final double[] bins = new double[BINS];
-        final Span scale;
-        final Span period;
+        final Span scale, period;
         Moment halved;
 
         Spans(Span scale, Span period, Moment now) {
@@ -218,14 +176,14 @@
         @SuppressWarnings("unchecked")
         final void empty() {
             while (!inbox.isEmpty()) {
-                inbox.peek().readBy((A) this);
+                inbox.peek().to((A) this);
                 inbox.poll();
             }
         }
     }
 
     /** A ring's circuits on the group; since is null once the contact stands. */
-    private record Held(int skill, int width, Moment since) { }
+    private record Held(Skill skill, int width, Moment since) { }
 
     private record Weight(double then, Moment at) { }
 
@@ -234,8 +192,7 @@
         int number = -1;
         SwitchLine.State state = SwitchLine.State.GONE;
         Moment started;
-        int free;
-        int size;
+        int free, size;
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
         final Tally urgent = new Tally(urgentOne.hold, now);
@@ -245,15 +202,8 @@
         boolean ticking;
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
         final Tally sent = new Tally(urgentOne.target, now);
-        double warmRate;
-        double budget;
-        Moment budgetAt = now;
-        Moment lastSign = now;
-        Moment lastTrial = NEVER;
-        Moment fullUntil = NEVER;
-        Moment toldAt = NEVER;
-        double cutBy;
-        double usual;
+        double warmRate, budget, cutBy, usual;
+        Moment budgetAt = now, lastSign = now, lastTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
         Span wait = Span.ZERO;
 
         Switch(long id) {
@@ -287,11 +237,8 @@
             }
             for (int i = 2; i < report.length && i < fields.size(); i++) {
                 double value = report[i];
-                if (value < 0) {
-                    continue;
-                }
-                toldAt = now;
-                switch (fields.get(i)) {
+                toldAt = value < 0 ? toldAt : now;
+                switch (value < 0 ? "" : fields.get(i)) {
                     case "cut_by" -> cutBy = value;
                     case "mean_ms" -> wait = Span.ofMillis(value);
                     case "allowed" -> {
@@ -306,7 +253,7 @@
 
         void ended(RingEnd end) {
             giveBack(end.contact());
-            if (end.cause() == Cause.TURNED_BACK || end.cause() == Cause.CONCLUDED || end.cause() == Cause.BUSY) {
+            if (EnumSet.of(Cause.TURNED_BACK, Cause.CONCLUDED, Cause.BUSY).contains(end.cause())) {
                 lastSign = now;
             }
             if (end.cause() == Cause.TURNED_BACK && end.blame() == Blame.PROCESSOR) {
@@ -318,33 +265,30 @@
         void giveBack(long contact) {
             Held ring = rings.remove(contact);
             if (ring != null) {
-                held[ring.skill] -= ring.width;
+                held[ring.skill.id] -= ring.width;
             }
         }
 
         void take(Ask ask) {
-            rings.put(ask.contact, new Held(ask.skill, ask.width, now));
-            held[ask.skill] += ask.width;
-            free -= ask.width;
+            rings.put(ask.contact.id(), new Held(ask.skill, ask.width(), now));
+            held[ask.skill.id] += ask.width();
+            free -= ask.width();
             sent.add(1, now);
-            front.put(new Granted(ask.contact, this));
+            front.put(new Granted(ask.contact.id(), this));
         }
 
         int stage() {
             double demand = size == 0 ? 0 : urgent.mean(now) / size;
-            int stage = 0;
-            while (stage < STAGES.length && demand > STAGES[stage]) {
-                stage++;
-            }
-            return stage;
+            return (int) Arrays.stream(STAGES).filter(threshold -> demand > threshold).count();
         }
 
-        /** Circuits that no ring from here explains were placed at the far end: they count as the cheapest. */
+        /** Circuits that no ring from here explains were placed at the far end and count as the cheapest. */
         int holds(int skill) {
-            return held[skill] + (skill == cheapest ? Math.max(0, size - free - Arrays.stream(held).sum()) : 0);
+            int unknown = Math.max(0, size - free - Arrays.stream(held).sum());
+            return held[skill] + (skill == cheapest ? unknown : 0);
         }
 
-        /** In the first stage a class may fill the group; later it has its share and what others leave idle. */
+        /** At first a class may fill the group; later it has its share and what others leave idle. */
         double limit(int skill) {
             int stage = stage();
             if (stage == 0) {
@@ -361,14 +305,14 @@
 
         /** Null where the group takes the contact, else why not. */
         Reason admits(Ask ask, boolean tandem) {
-            if (free < ask.width || reserved(ask)) {
+            if (free < ask.width() || reserved(ask)) {
                 return Reason.FULL;
             }
             double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * Math.sqrt(size), widest);
-            if (skills[ask.skill].rank == 0 || free - ask.width >= level) {
+            if (ask.urgent() || free - ask.width() >= level) {
                 return null;
             }
-            return !tandem && holds(ask.skill) + ask.width <= limit(ask.skill) ? null : Reason.SHARE;
+            return !tandem && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
         }
 
         /** Rings out and no word for longer than set-ups here take: it may be hung, cut off or very slow. */
@@ -387,8 +331,8 @@
             return age >= 1 ? 1 : coldShare + (1 - coldShare) * age * age;
         }
 
-        /** Each exchange sends a cold processor only its own usual part, cut as the processor's capacity is. */
-        boolean spendCold(int skill) {
+        /** Each exchange sends a cold processor its own usual part, cut as its capacity is. */
+        boolean spendCold(Ask ask) {
             double part = coldPart();
             if (part >= 1) {
                 return true;
@@ -396,26 +340,24 @@
             double rate = Math.max(warmRate, 0.2) * part * FULL_WORK;
             budget = Math.min(2, budget + rate * now.since(budgetAt).ns() / 1e9);
             budgetAt = now;
-            if (budget < (skills[skill].rank == 0 ? 1 : 1.5)) {
-                return false;
-            }
-            budget--;
-            return true;
+            boolean may = budget >= (ask.urgent() ? 1 : 1.5);
+            budget -= may ? 1 : 0;
+            return may;
         }
 
         /** The part of the contacts of this skill to keep back from this processor. */
-        double pressure(int skill) {
+        double pressure(Skill skill) {
             if (now.before(fullUntil)) {
                 return 1;
             }
-            Skill kind = skills[skill];
             Span age = toldAt == NEVER ? patienceMost : now.since(toldAt);
             // An old report must not shut a switch for good: with nothing sent there, no better one comes.
             double fresh = Math.pow(0.5, age.over(urgentOne.target));
             Span rings = this == home() ? setUps.quantile(0.25, now)
                     : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
-            double slow = wait.times(fresh).least(rings).over(kind.target);
-            return kind.rank == 0 ? ramp(slow, 1, 2) : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
+            double slow = wait.times(fresh).least(rings).over(skill.target);
+            return skill.rank == 0 ? ramp(slow, 1, 2)
+                    : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
         }
 
         Reason processor(Ask ask) {
@@ -432,111 +374,119 @@
         }
 
         void asked(Ask ask) {
-            if (ask.first && skills[ask.skill].rank == 0) {
-                want(ask);
-            }
             Reason reason = processor(ask);
-            if (reason == null && (reason = admits(ask, ask.transit)) == null
-                    && (reason = spendCold(ask.skill) ? null : Reason.COLD) == null) {
+            if (this != ask.destination) {
+                if (reason == null && spendCold(ask)) {
+                    ask.destination.put(ask);
+                } else {
+                    refuse(ask, Reason.PRESSED);
+                }
+                return;
+            }
+            if (ask.first && ask.urgent()) {
+                want(ask.contact, ask.skill);
+            }
+            boolean transit = ask.contact.inTransit();
+            if (reason == null && (reason = admits(ask, transit)) == null
+                    && (reason = spendCold(ask) ? null : Reason.COLD) == null) {
                 take(ask);
                 return;
             }
-            if (reason == Reason.FULL && !ask.transit && coldPart() >= 1
-                    && (skills[ask.skill].rank == 0 || !ask.tandemTried)) {
-                List<Switch> drawn = draw(ask);
-                if (!drawn.isEmpty()) {
-                    drawn.get(0).put(new Through(ask, this, drawn.subList(1, drawn.size())));
-                    return;
-                }
+            List<Switch> drawn = reason == Reason.FULL && !transit && coldPart() >= 1 ? draw(ask) : List.of();
+            if (drawn.isEmpty()) {
+                refuse(ask, reason);
+            } else {
+                drawn.get(0).put(new Through(ask, drawn.subList(1, drawn.size())));
             }
-            refuse(ask, reason);
         }
 
-        /** Only what may still pay within its answer target waits: a circuit that frees, or the dearest skill. */
+        /** What may still pay within its answer target waits: for a circuit, or where it is the dearest. */
         void refuse(Ask ask, Reason reason) {
-            boolean may = reason == Reason.FULL || skills[ask.skill].rank == 0 && reason != Reason.DOWN;
-            if (ask.transit || !may || !now.before(ask.waitUntil)) {
-                front.put(new Denied(ask.contact, reason));
+            boolean may = reason == Reason.FULL || ask.urgent() && reason != Reason.DOWN;
+            if (ask.contact.inTransit() || !may || !now.before(ask.waitUntil)) {
+                front.put(new Denied(ask.contact.id()));
                 return;
             }
             int at = 0;
-            while (at < waiting.size() && skills[waiting.get(at).skill].rank <= skills[ask.skill].rank) {
+            while (at < waiting.size() && waiting.get(at).skill.rank <= ask.skill.rank) {
                 at++;
             }
             waiting.add(at, ask);
-            front.put(new Queued(ask.contact));
             if (!ticking) {
                 ticking = true;
                 front.put(new Tick(this));
             }
         }
 
-        /** One blocked caller who asks again is one want, so a number counts once while it may still redial. */
-        void want(Ask ask) {
+        /** A blocked caller who asks again is one want, so a number counts once while it may still redial. */
+        void want(Contact contact, Skill skill) {
             wanted.values().removeIf(until -> until.before(now));
-            if (ask.dialled == 0 || wanted.put(ask.dialled, now.plus(skills[ask.skill].patience)) == null) {
-                urgent.add(ask.width, now);
+            long dialled = contact.dialled();
+            if (dialled == 0 || wanted.put(dialled, now.plus(skill.patience)) == null) {
+                urgent.add(contact.width(), now);
             }
         }
 
         /** Circuits that come free are first for those of a dearer skill that wait for them. */
         boolean reserved(Ask ask) {
-            int ahead = 0;
-            for (Ask other : waiting) {
-                ahead += skills[other.skill].rank < skills[ask.skill].rank ? other.width : 0;
-            }
-            return ahead > 0 && free < ahead + ask.width;
+            int ahead = waiting.stream().filter(other -> other.skill.rank < ask.skill.rank)
+                    .mapToInt(Ask::width).sum();
+            return ahead > 0 && free < ahead + ask.width();
         }
 
         double weight(Switch tandem) {
             Weight weight = weights.get(tandem.id);
-            return weight == null ? WEIGHT_NEW
-                    : 1 - (1 - weight.then) * Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
+            if (weight == null) {
+                return WEIGHT_NEW;
+            }
+            return 1 - (1 - weight.then) * Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
         }
 
-        void judge(long tandem, boolean well) {
-            double weight = weight(at(tandem));
+        void judge(Switch tandem, boolean well) {
+            double weight = weight(tandem);
             weight = well ? weight + WEIGHT_UP * (1 - weight) : weight * WEIGHT_DOWN;
-            weights.put(tandem, new Weight(Math.max(WEIGHT_LEAST, weight), now));
+            weights.put(tandem.id, new Weight(Math.max(WEIGHT_LEAST, weight), now));
         }
 
-        /** Tandems in an order drawn by weight; where weights are low a cheap contact often gets none. */
+        /** Tandems in an order drawn by weight; a cheap contact draws once, and often gets none. */
         List<Switch> draw(Ask ask) {
-            List<Switch> left = new ArrayList<>();
-            for (Switch other : switches.values()) {
-                if (other != this && other != home() && other.id != ask.spurned) {
-                    left.add(other);
-                }
-            }
+            List<Switch> left = new ArrayList<>(switches.values());
+            left.removeIf(other -> other == this || other == home() || other.id == ask.spurned);
             List<Switch> drawn = new ArrayList<>();
-            while (!left.isEmpty()) {
+            while (!left.isEmpty() && (ask.urgent() || ask.first)) {
                 double at = chance.nextDouble() * left.stream().mapToDouble(this::weight).sum();
                 int picked = 0;
                 while (picked < left.size() - 1 && (at -= weight(left.get(picked))) > 0) {
                     picked++;
                 }
                 Switch tandem = left.remove(picked);
-                if (drawn.isEmpty() && skills[ask.skill].rank > 0 && chance.nextDouble() > weight(tandem)) {
-                    return drawn;
+                if (drawn.isEmpty() && !ask.urgent() && chance.nextDouble() > weight(tandem)) {
+                    break;
                 }
                 drawn.add(tandem);
             }
             return drawn;
         }
 
-        void through(Through through) {
-            Ask ask = through.ask;
+        void through(Ask ask, List<Switch> others) {
             if (coldPart() >= 1 && state == SwitchLine.State.READY && !silent()
                     && pressure(ask.skill) == 0 && admits(ask, true) == null) {
                 take(ask);
-            } else if (through.others.isEmpty()) {
-                through.destination.put(new NoTandem(ask));
+            } else if (others.isEmpty()) {
+                ask.destination.put(new NoTandem(ask));
             } else {
-                List<Switch> others = through.others;
-                others.get(0).put(new Through(ask, through.destination, others.subList(1, others.size())));
+                others.get(0).put(new Through(ask, others.subList(1, others.size())));
             }
         }
 
+        void noTandem(Ask ask) {
+            refuse(ask, Reason.FULL);
+        }
+
+        void withdraw(long contact) {
+            waiting.removeIf(ask -> ask.contact.id() == contact);
+        }
+
         void tickRung() {
             ticking = false;
             serve();
@@ -553,29 +503,24 @@
         }
     }
 
-    enum Doing { SEEKING, WAITING, RINGING, RELEASING }
+    enum Doing { SEEKING, RINGING, RELEASING }
 
-    private final class Open {
+    private static final class Open {
         final Contact contact;
-        final int kind;
-        final Moment end;
-        Moment worthUntil;
+        final Skill skill;
+        final Moment end, worthUntil;
         Doing doing = Doing.SEEKING;
         int rings;
         boolean asked;
-        Switch at;
-        Switch destination;
+        Switch at, destination;
         long spurned = -1;
         Moment seekAt;
 
-        Open(Contact contact, int kind, Moment end) {
+        Open(Contact contact, Skill skill, Moment end, Moment worthUntil) {
             this.contact = contact;
-            this.kind = kind;
+            this.skill = skill;
             this.end = end;
-        }
-
-        Skill skill() {
-            return skills[kind];
+            this.worthUntil = worthUntil.before(end) ? worthUntil : end;
         }
     }
 
@@ -586,29 +531,17 @@
         void answered(long contact) {
             Open one = open.remove(contact);
             if (one != null && one.at != one.destination) {
-                one.destination.put(new Judge(one.at.id, true));
+                one.destination.put(new Judge(one.at, true));
             }
         }
 
         void callerGone(long contact) {
-            Open one = open.remove(contact);
-            if (one != null) {
-                letGo(one);
-            }
+            letGo(open.get(contact));
         }
 
-        void denied(long contact, Reason reason) {
-            Open one = open.get(contact);
-            if (one != null) {
-                defer(one, reason);
-            }
-        }
-
-        void queued(long contact) {
-            Open one = open.get(contact);
-            if (one != null && one.doing == Doing.SEEKING) {
-                one.doing = Doing.WAITING;
-                clock(one, one.worthUntil);
+        void denied(long contact) {
+            if (open.containsKey(contact)) {
+                defer(open.get(contact));
             }
         }
 
@@ -621,45 +554,39 @@
         }
 
         void offered(Contact contact) {
-            // Two rounds early: a clock is heard up to a round late, and an answer after the end counts as none.
+            // Two rounds early: a clock is heard up to a round late, and a late answer counts as none.
             Moment end = now.plus(contact.patience()).plus(round.times(-2));
-            Open one = new Open(contact, Math.min(contact.skill(), skills.length - 1), end);
-            Moment worth = now.plus(one.skill().target.times(0.75));
-            one.worthUntil = worth.before(end) ? worth : end;
+            Skill skill = skills[Math.min(contact.skill(), skills.length - 1)];
+            Open one = new Open(contact, skill, end, now.plus(skill.target.times(WORTH_WAITING)));
             open.put(contact.id(), one);
             if (!now.before(end)) {
-                defer(one, Reason.FULL);
+                defer(one);
                 return;
             }
             clock(one, end);
+            clock(one, one.worthUntil);
             if (home() != null && mayProbe && now.since(probedAt).longerThan(urgentOne.target.times(0.4))) {
                 probedAt = now;
                 orders.probe(home().id);
             }
-            if (home() != null && chance.nextDouble() < home().pressure(one.kind)) {
-                defer(one, Reason.PRESSED);
-                return;
-            }
             seek(one);
         }
 
         void seek(Open one) {
-            Contact contact = one.contact;
-            one.destination = byNumber(contact.destination());
+            one.destination = byNumber(one.contact.destination());
             if (one.destination == null || one.rings >= mostRings) {
-                defer(one, Reason.DOWN);
+                defer(one);
                 return;
             }
             one.doing = Doing.SEEKING;
-            boolean first = !one.asked;
+            (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
+                    one.destination, !one.asked, one.worthUntil, one.spurned));
             one.asked = true;
-            one.destination.put(new Ask(contact.id(), one.kind, Math.max(1, contact.width()), contact.inTransit(),
-                    first, contact.dialled(), one.worthUntil, one.spurned, one.spurned >= 0));
         }
 
         void granted(long contact, Switch target) {
             Open one = open.get(contact);
-            if (one == null || one.doing == Doing.RINGING || one.doing == Doing.RELEASING || !now.before(one.end)) {
+            if (one == null || one.doing != Doing.SEEKING || !now.before(one.end)) {
                 target.put(new Return(contact));
                 return;
             }
@@ -680,11 +607,11 @@
             }
             boolean tandem = one.at != one.destination;
             if (tandem && end.cause() != Cause.NOT_SENT) {
-                one.destination.put(new Judge(one.at.id, false));
+                one.destination.put(new Judge(one.at, false));
                 one.spurned = one.at.id;
             }
             if (one.contact.inTransit()) {
-                defer(one, Reason.FULL);
+                defer(one);
                 return;
             }
             switch (end.cause()) {
@@ -698,15 +625,15 @@
                 }
                 case TURNED_BACK, NOT_SENT, UNREACHABLE -> {
                     boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
-                    if (!now.before(one.worthUntil) || pressed && one.skill().rank > 0) {
-                        defer(one, pressed ? Reason.PRESSED : Reason.FULL);
+                    if (!now.before(one.worthUntil) || pressed && one.skill.rank > 0) {
+                        defer(one);
                     } else if (pressed) {
                         seekAt(one, now.plus(urgentOne.target.times(0.15)));
                     } else {
                         seek(one);
                     }
                 }
-                default -> defer(one, Reason.FULL);
+                default -> defer(one);
             }
         }
 
@@ -720,34 +647,32 @@
             Open one = open.get(contact);
             if (one == null) {
                 return;
-            }
-            if (!now.before(one.end)) {
+            } else if (!now.before(one.end)) {
                 abandon(one);
             } else if (one.doing == Doing.RELEASING && !now.before(one.seekAt)) {
                 seek(one);
-            } else if (one.doing == Doing.WAITING && !now.before(one.worthUntil)) {
-                defer(one, Reason.FULL);
+            } else if (one.doing == Doing.SEEKING && !now.before(one.worthUntil)) {
+                defer(one);
             }
         }
 
         // The two places of a final answer; a contact is forgotten there, so nothing can follow.
-        void defer(Open one, Reason reason) {
-            open.remove(one.contact.id());
+        void defer(Open one) {
             letGo(one);
             orders.defer(one.contact.id(), one.contact.inTransit() ? Span.ZERO : comeBack);
         }
 
         void abandon(Open one) {
-            open.remove(one.contact.id());
             letGo(one);
             orders.abandon(one.contact.id());
         }
 
         void letGo(Open one) {
-            if (one.doing == Doing.WAITING || one.doing == Doing.SEEKING) {
-                if (one.destination != null) {
-                    one.destination.put(new Withdraw(one.contact.id()));
-                }
+            if (one == null || open.remove(one.contact.id()) == null) {
+                return;
+            }
+            if (one.doing == Doing.SEEKING && one.destination != null) {
+                one.destination.put(new Withdraw(one.contact.id()));
             } else if (one.doing == Doing.RINGING && mayCallOff) {
                 orders.callOff(one.contact.id(), one.rings - 1);
             }
@@ -762,19 +687,13 @@
     private final Map<Long, Switch> switches = new TreeMap<>();
     private final Skill[] skills;
     private Skill urgentOne;
-    private int cheapest;
-    private int widest = 1;
+    private int cheapest, widest = 1;
     private Span patienceMost = Span.ZERO;
     private final List<String> fields;
-    private final Span round;
-    private final Span release;
-    private final Span comeBack;
-    private final Span warmWithin;
+    private final Span round, release, comeBack, warmWithin;
     private final double coldShare;
-    private final int mostRings;
-    private final boolean mayCallOff;
-    private final boolean mayProbe;
-    private final int homeNumber;
+    private final int mostRings, homeNumber;
+    private final boolean mayCallOff, mayProbe;
     private final Front front = new Front();
 
     public Logic(Map<String, String> settings, long seed, Moment now, Orders orders) {
@@ -809,7 +728,7 @@
         int count = (int) number("classes.count", 1);
         Integer[] byValue = new Integer[count];
         Arrays.setAll(byValue, i -> i);
-        Arrays.sort(byValue, (a, b) -> Double.compare(value(b), value(a)));
+        Arrays.sort(byValue, Comparator.comparingDouble(i -> -number("classes." + i + ".worth", 1)));
         Skill[] all = new Skill[count];
         for (int rank = 0; rank < count; rank++) {
             int skill = byValue[rank];
@@ -818,8 +737,8 @@
             int row = rank == 0 ? 0 : Math.max(1, 3 - (count - 1 - rank));
             int width = (int) item(settings.get("family-info.widths"), skill, 1);
             Span hold = new Span((long) item(settings.get("family-info.mean-hold-ns"), skill, 1e10));
-            all[skill] = new Skill(rank, row, width, value(skill), new Span((long) number(at + "aim-ns", 1e9)),
-                    hold, new Span((long) number(at + "hard-limit-ns", 9e9)));
+            all[skill] = new Skill(skill, rank, row, width, new Span((long) number(at + "aim-ns", 1e9)), hold,
+                    new Span((long) number(at + "hard-limit-ns", 9e9)));
             widest = Math.max(widest, width);
             patienceMost = patienceMost.least(all[skill].patience);
         }
@@ -828,10 +747,6 @@
         return all;
     }
 
-    private double value(int skill) {
-        return number("classes." + skill + ".worth", 1);
-    }
-
     /** Shares of the paper's classes that no skill here plays go to the cheapest, so none is stranded. */
     double share(int skill, int stage) {
         double left = 1;
@@ -849,13 +764,15 @@
         return byNumber(homeNumber);
     }
 
+    /** While a machine replaces another, both bear the number: the one that takes what is new counts. */
     Switch byNumber(int number) {
+        Switch found = null;
         for (Switch one : switches.values()) {
-            if (one.number == number) {
-                return one;
+            if (one.number == number && (found == null || one.state == SwitchLine.State.READY)) {
+                found = one;
             }
         }
-        return null;
+        return found;
     }
 
     Switch at(long id) {
@@ -886,59 +803,53 @@
         loop();
     }
 
+    private <A extends Actor<A>> void tell(Moment at, A actor, Note<A> note) {
+        now = at;
+        if (actor != null) {
+            actor.put(note);
+            loop();
+        }
+    }
+
     @Override
     public void offered(Moment at, Contact contact) {
-        now = at;
-        front.put(new Offered(contact));
-        loop();
+        tell(at, front, new Offered(contact));
     }
 
     @Override
     public void stands(Moment at, long contact, int ring, long target, Span took) {
-        now = at;
-        at(target).put(new Stood(contact, took));
-        if (home() != null) {
-            home().put(new Stood(contact, took));
-        }
-        front.put(new Answered(contact));
-        loop();
+        tell(at, at(target), new Stood(contact, took));
+        tell(at, home(), new Stood(contact, took));
+        tell(at, front, new Answered(contact));
     }
 
     @Override
     public void ringEnded(Moment at, RingEnd end) {
-        now = at;
-        at(end.target()).put(new Ended(end));
-        if (home() != null && end.cause() == Cause.TIMED_OUT) {
+        tell(at, at(end.target()), new Ended(end));
+        if (end.cause() == Cause.TIMED_OUT) {
             // A jammed own processor lets nothing stand: what timed out must count as a slow set-up there.
-            home().put(new Stood(end.contact(), end.took()));
+            tell(at, home(), new Stood(end.contact(), end.took()));
         }
-        front.put(new Over(end));
-        loop();
+        tell(at, front, new Over(end));
     }
 
     @Override
     public void callerGone(Moment at, long contact) {
-        now = at;
-        front.put(new CallerGone(contact));
-        loop();
+        tell(at, front, new CallerGone(contact));
     }
 
     @Override
     public void clockRung(Moment at, long token) {
-        now = at;
         if ((token & 1) == 1) {
-            at(token >> 1).put(new Serve());
+            tell(at, at(token >> 1), new Serve());
         } else {
-            front.put(new Rung(token >> 1));
+            tell(at, front, new Rung(token >> 1));
         }
-        loop();
     }
 
     @Override
     public void reported(Moment at, long target, boolean reached, Span took, float[] report) {
-        now = at;
-        at(target).put(new Reported(report));
-        loop();
+        tell(at, at(target), new Reported(report));
     }
 
     @Override
