--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -18,13 +18,8 @@
     static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
-    static final double NEAR_FULL = 0.25;
-    static final double NEAR_FULL_TANDEM = 1.0;
-    static final double WEIGHT_UP = 0.3;
-    static final double WEIGHT_DOWN = 0.5;
-    static final double WEIGHT_NEW = 0.6;
-    static final double WEIGHT_LEAST = 0.05;
-
+    static final double NEAR_FULL = 0.25, NEAR_FULL_TANDEM = 1.0;
+    static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
     // The part of its answer target that a contact may wait for a circuit; the rest is for the set-up.
@@ -41,10 +36,10 @@
     record Offered(Contact contact) implements Note<Front> { public void to(Front a) { a.offered(contact); } }
     record Answered(long contact) implements Note<Front> { public void to(Front a) { a.answered(contact); } }
     record Over(RingEnd end) implements Note<Front> { public void to(Front a) { a.over(end); } }
-    record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.callerGone(id); } }
+    record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.letGo(a.at(id)); } }
     record Rung(long contact) implements Note<Front> { public void to(Front a) { a.rung(contact); } }
     record Tick(Switch asker) implements Note<Front> { public void to(Front a) { a.tick(asker); } }
-    record Denied(long contact) implements Note<Front> { public void to(Front a) { a.denied(contact); } }
+    record Denied(long id) implements Note<Front> { public void to(Front a) { a.defer(a.at(id)); } }
     record Granted(long contact, Switch target) implements Note<Front> {
         public void to(Front a) { a.granted(contact, target); }
     }
@@ -65,14 +60,20 @@
         public void to(Switch a) { a.through(ask, others); }
     }
 
-    record NoTandem(Ask ask) implements Note<Switch> { public void to(Switch a) { a.noTandem(ask); } }
+    record NoTandem(Ask ask) implements Note<Switch> {
+        public void to(Switch a) { a.refuse(ask, Reason.FULL); }
+    }
+
     record Stood(long contact, Span took) implements Note<Switch> {
         public void to(Switch a) { a.stood(contact, took); }
     }
 
     record Ended(RingEnd end) implements Note<Switch> { public void to(Switch a) { a.ended(end); } }
     record Return(long id) implements Note<Switch> { public void to(Switch a) { a.giveBack(id); } }
-    record Withdraw(long id) implements Note<Switch> { public void to(Switch a) { a.withdraw(id); } }
+    record Withdraw(long id) implements Note<Switch> {
+        public void to(Switch a) { a.waiting.removeIf(ask -> ask.contact.id() == id); }
+    }
+
     record Serve() implements Note<Switch> { public void to(Switch a) { a.tickRung(); } }
     record Told(SwitchLine line) implements Note<Switch> { public void to(Switch a) { a.listed(line); } }
     record Reported(float[] says) implements Note<Switch> { public void to(Switch a) { a.reported(says); } }
@@ -224,8 +225,7 @@
                 warmRate = Math.max(warmRate, sent.mean(now) / sent.period.ns() * 1e9);
                 started = line.started();
                 budget = 0;
-                budgetAt = now;
-                lastSign = now;
+                budgetAt = lastSign = now;
                 toldAt = NEVER;
             }
         }
@@ -291,11 +291,8 @@
         /** At first a class may fill the group; later it has its share and what others leave idle. */
         double limit(int skill) {
             int stage = stage();
-            if (stage == 0) {
-                return size;
-            }
-            double limit = share(skill, stage) * size;
-            for (int other = 0; other < skills.length; other++) {
+            double limit = stage == 0 ? size : share(skill, stage) * size;
+            for (int other = 0; stage > 0 && other < skills.length; other++) {
                 if (other != skill && skills[other].rank > 0) {
                     limit += Math.max(0, share(other, stage) * size - holds(other));
                 }
@@ -461,7 +458,7 @@
                 }
                 Switch tandem = left.remove(picked);
                 if (drawn.isEmpty() && !ask.urgent() && chance.nextDouble() > weight(tandem)) {
-                    break;
+                    return drawn;
                 }
                 drawn.add(tandem);
             }
@@ -479,14 +476,6 @@
             }
         }
 
-        void noTandem(Ask ask) {
-            refuse(ask, Reason.FULL);
-        }
-
-        void withdraw(long contact) {
-            waiting.removeIf(ask -> ask.contact.id() == contact);
-        }
-
         void tickRung() {
             ticking = false;
             serve();
@@ -528,6 +517,10 @@
         final Map<Long, Open> open = new LinkedHashMap<>();
         Moment probedAt = NEVER;
 
+        Open at(long contact) {
+            return open.get(contact);
+        }
+
         void answered(long contact) {
             Open one = open.remove(contact);
             if (one != null && one.at != one.destination) {
@@ -535,16 +528,6 @@
             }
         }
 
-        void callerGone(long contact) {
-            letGo(open.get(contact));
-        }
-
-        void denied(long contact) {
-            if (open.containsKey(contact)) {
-                defer(open.get(contact));
-            }
-        }
-
         void tick(Switch asker) {
             orders.clock(urgentOne.target.times(0.04).least(round), asker.id * 2 + 1);
         }
@@ -585,7 +568,7 @@
         }
 
         void granted(long contact, Switch target) {
-            Open one = open.get(contact);
+            Open one = at(contact);
             if (one == null || one.doing != Doing.SEEKING || !now.before(one.end)) {
                 target.put(new Return(contact));
                 return;
@@ -597,7 +580,7 @@
         }
 
         void over(RingEnd end) {
-            Open one = open.get(end.contact());
+            Open one = at(end.contact());
             if (one == null || end.ring() != one.rings - 1) {
                 return;
             }
@@ -644,7 +627,7 @@
         }
 
         void rung(long contact) {
-            Open one = open.get(contact);
+            Open one = at(contact);
             if (one == null) {
                 return;
             } else if (!now.before(one.end)) {
@@ -658,24 +641,27 @@
 
         // The two places of a final answer; a contact is forgotten there, so nothing can follow.
         void defer(Open one) {
-            letGo(one);
-            orders.defer(one.contact.id(), one.contact.inTransit() ? Span.ZERO : comeBack);
+            if (letGo(one)) {
+                orders.defer(one.contact.id(), one.contact.inTransit() ? Span.ZERO : comeBack);
+            }
         }
 
         void abandon(Open one) {
-            letGo(one);
-            orders.abandon(one.contact.id());
+            if (letGo(one)) {
+                orders.abandon(one.contact.id());
+            }
         }
 
-        void letGo(Open one) {
+        boolean letGo(Open one) {
             if (one == null || open.remove(one.contact.id()) == null) {
-                return;
+                return false;
             }
             if (one.doing == Doing.SEEKING && one.destination != null) {
                 one.destination.put(new Withdraw(one.contact.id()));
             } else if (one.doing == Doing.RINGING && mayCallOff) {
                 orders.callOff(one.contact.id(), one.rings - 1);
             }
+            return true;
         }
     }
 
@@ -685,7 +671,7 @@
     private Moment now;
     private final ArrayDeque<Actor<?>> busy = new ArrayDeque<>();
     private final Map<Long, Switch> switches = new TreeMap<>();
-    private final Skill[] skills;
+    final Skill[] skills;
     private Skill urgentOne;
     private int cheapest, widest = 1;
     private Span patienceMost = Span.ZERO;
@@ -703,13 +689,13 @@
         chance = new SplittableRandom(seed);
         round = new Span((long) number("round-ns", 5e6));
         release = new Span((long) number("family-info.release-ns", 0));
-        comeBack = "true".equals(settings.get("policy-limits.retry-after"))
+        comeBack = may("retry-after")
                 ? new Span((long) number("policy-limits.max-retry-after-ns", 0)) : Span.ZERO;
         warmWithin = new Span((long) number("guarantees.warm-within-ns", 1));
         coldShare = number("guarantees.cold-share", 0.2);
         mostRings = (int) number("policy-limits.send-cap", 1);
-        mayCallOff = "true".equals(settings.get("policy-limits.cancel"));
-        mayProbe = "true".equals(settings.get("policy-limits.probes"));
+        mayCallOff = may("cancel");
+        mayProbe = may("probes");
         homeNumber = (int) number("family-info.home-no", -1);
         fields = Arrays.asList(settings.getOrDefault("report.fields", "").split(","));
         skills = skills();
@@ -719,6 +705,10 @@
         return item(settings.get(name), 0, otherwise);
     }
 
+    private boolean may(String what) {
+        return "true".equals(settings.get("policy-limits." + what));
+    }
+
     private static double item(String list, int at, double otherwise) {
         String[] items = list == null ? new String[0] : list.split(",");
         return at < items.length && !items[at].isBlank() ? Double.parseDouble(items[at].trim()) : otherwise;
@@ -807,8 +797,8 @@
         now = at;
         if (actor != null) {
             actor.put(note);
-            loop();
         }
+        loop();
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/martenslip/LogicTest.java
@@ -0,0 +1,239 @@
+package martenslip;
+
+import static martenslip.Exchange.CHEAP;
+import static martenslip.Exchange.URGENT;
+import static martenslip.Exchange.at;
+import static martenslip.Exchange.contact;
+import static martenslip.Exchange.line;
+import static martenslip.Exchange.transit;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import martenslip.control.Blame;
+import martenslip.control.Cause;
+import martenslip.control.Contact;
+import martenslip.control.Controller.ListKind;
+import martenslip.control.RingEnd;
+import martenslip.control.Span;
+import martenslip.control.SwitchLine.State;
+import org.testng.annotations.Test;
+
+public class LogicTest {
+    private static RingEnd end(long contact, int ring, Cause cause, Blame blame) {
+        return new RingEnd(contact, ring, 101, cause, blame, Span.ofMillis(10), Span.ZERO, false, new float[0]);
+    }
+
+    private static Logic.Ask ask(Exchange exchange, int skill, int width) {
+        Contact contact = new Contact(1, skill, 0, 1, -1, width, Span.ofMillis(3000), false, false, false);
+        return exchange.ask(contact);
+    }
+
+    @Test
+    public void directWhileTheGroupHasRoom() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.offered(at(1), contact(1, CHEAP, 3));
+        assertEquals(exchange.orders(), List.of("ring 1 101"));
+    }
+
+    @Test
+    public void tandemWhenTheDirectGroupIsFull() {
+        Exchange exchange = new Exchange().ready(20, 40).group(1, 0, 40);
+        exchange.logic.offered(at(1), contact(1, URGENT, 3));
+        List<String> orders = exchange.orders();
+        assertTrue(orders.equals(List.of("ring 1 102")) || orders.equals(List.of("ring 1 103")), orders.toString());
+    }
+
+    @Test
+    public void transitGoesOnOrIsTurnedBackAtOnce() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.offered(at(1), transit(1, CHEAP));
+        assertEquals(exchange.orders(), List.of("ring 1 101"));
+        exchange.group(1, 1, 40);
+        exchange.logic.offered(at(1), transit(2, CHEAP));
+        assertEquals(exchange.orders(), List.of("defer 2"));
+    }
+
+    @Test
+    public void sharesBindOnlyNearFull() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        group.urgent.add(16, at(0));
+        assertTrue(group.stage() >= 2);
+        assertNull(group.admits(ask(exchange, CHEAP, 1), false));
+        exchange.group(1, 1, 40);
+        assertEquals(group.admits(ask(exchange, CHEAP, 1), false), Logic.Reason.SHARE);
+        assertNull(group.admits(ask(exchange, URGENT, 1), false));
+    }
+
+    @Test
+    public void theWidthCountsAtAShareEdge() {
+        Exchange exchange = new Exchange().ready(1, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        group.urgent.add(10, at(0));
+        double limit = group.limit(CHEAP);
+        group.held[URGENT] = 40 - 2 - (int) limit;
+        group.free = 2;
+        assertEquals(group.holds(CHEAP), (int) limit);
+        assertEquals(group.admits(ask(exchange, CHEAP, 1), false), Logic.Reason.SHARE);
+        group.held[URGENT]++;
+        assertNull(group.admits(ask(exchange, CHEAP, 1), false));
+        assertEquals(group.admits(ask(exchange, CHEAP, 2), false), Logic.Reason.SHARE);
+    }
+
+    @Test
+    public void cheaperSharesShrinkAtHigherStages() {
+        Exchange exchange = new Exchange().ready(1, 40);
+        for (int stage = 1; stage < Logic.SHARES.length; stage++) {
+            assertTrue(exchange.logic.share(CHEAP, stage) < exchange.logic.share(CHEAP, stage - 1));
+        }
+    }
+
+    @Test
+    public void urgentDemandFades() {
+        Logic.Tally tally = new Logic.Tally(Span.ofMillis(1000), at(0));
+        tally.add(8, at(0.5));
+        assertEquals(tally.mean(at(0.9)), 8.0);
+        assertEquals(tally.mean(at(3.5)), 8 / 3.5, 1e-9);
+        assertEquals(tally.mean(at(9)), 0.0);
+    }
+
+    @Test
+    public void oneCallerWhoRedialsIsOneWant() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        for (long id = 1; id < 4; id++) {
+            Contact redial = new Contact(id, URGENT, 77, 1, -1, 1, Span.ofMillis(3000), false, false, false);
+            group.want(redial, exchange.ask(redial).skill());
+        }
+        assertEquals(group.urgent.mean(at(0)), 1.0);
+    }
+
+    @Test
+    public void oneFinalAnswerBeforePatienceEndsAndNothingAfter() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.offered(at(1), contact(1, CHEAP, 3));
+        exchange.orders();
+        exchange.logic.clockRung(at(3.99), 2);
+        assertEquals(exchange.orders(), List.of("off 1 0", "abandon 1"));
+        exchange.logic.ringEnded(at(4.02), end(1, 0, Cause.CALLED_OFF, Blame.NONE));
+        exchange.logic.clockRung(at(5), 2);
+        assertEquals(exchange.orders(), List.of());
+    }
+
+    @Test
+    public void noSecondRingWhileOneIsOut() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.offered(at(1), contact(1, URGENT, 3));
+        exchange.orders();
+        exchange.logic.clockRung(at(1.8), 2);
+        exchange.logic.at(101).serve();
+        assertEquals(exchange.orders(), List.of());
+    }
+
+    @Test
+    public void theReleaseIsAwaitedAfterACut() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.offered(at(1), contact(1, URGENT, 3));
+        exchange.logic.ringEnded(at(1.1), end(1, 0, Cause.CUT, Blame.NONE));
+        exchange.orders();
+        exchange.logic.clockRung(at(1.6), 2);
+        assertEquals(exchange.orders(), List.of());
+        exchange.logic.clockRung(at(1.606), 2);
+        assertEquals(exchange.orders(), List.of("ring 1 101"));
+    }
+
+    @Test
+    public void nothingNewToADrainingSwitchAsDestinationOrTandem() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.listed(at(1), ListKind.CHANGES, List.of(line(1, State.DRAINING, null)));
+        exchange.logic.offered(at(1), contact(1, URGENT, 3));
+        assertEquals(exchange.orders(), List.of("defer 1"));
+        exchange.logic.listed(at(1), ListKind.WHOLE, List.of(line(0, State.READY, null), line(1, State.READY, null),
+                line(2, State.READY, null)));
+        exchange.group(1, 0, 40);
+        exchange.logic.offered(at(2), contact(2, URGENT, 3));
+        assertEquals(exchange.orders(), List.of("ring 2 102"));
+    }
+
+    @Test
+    public void theSuccessorOfAReplacedMachineIsFound() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.listed(at(1), ListKind.CHANGES, List.of(line(1, State.GONE, null),
+                new martenslip.control.SwitchLine(900, 1, State.READY, null, 0)));
+        assertEquals(exchange.logic.byNumber(1).id, 900);
+    }
+
+    @Test
+    public void aColdSwitchGetsItsPartOnly() {
+        Exchange exchange = new Exchange().ready(40, 40);
+        exchange.logic.listed(at(20), ListKind.CHANGES, List.of(line(1, State.READY, at(20))));
+        for (int id = 1; id <= 40; id++) {
+            exchange.logic.offered(at(20 + id * 0.05), contact(id, CHEAP, 3));
+        }
+        assertTrue(exchange.orders().stream().filter(order -> order.startsWith("ring")).count() <= 2);
+    }
+
+    @Test
+    public void aPressedProcessorIsKeptFromTheCheapButAnOldReportFades() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {20, 40, 0.9f});
+        assertEquals(group.pressure(ask(exchange, CHEAP, 1).skill()), 0.9, 1e-6);
+        assertEquals(group.pressure(ask(exchange, URGENT, 1).skill()), 0.0);
+        exchange.logic.stopped(at(6));
+        assertTrue(group.pressure(ask(exchange, CHEAP, 1).skill()) < 0.05);
+    }
+
+    @Test
+    public void timedOutRingsShowAJamOfTheOwnProcessor() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        for (int id = 1; id < 6; id++) {
+            exchange.logic.ringEnded(at(1), new RingEnd(id, 0, 101, Cause.TIMED_OUT, Blame.NONE,
+                    Span.ofMillis(2700), Span.ZERO, false, new float[0]));
+        }
+        assertTrue(exchange.logic.home().pressure(ask(exchange, CHEAP, 1).skill()) > 0.9);
+    }
+
+    @Test
+    public void aSilentSwitchIsNoTandemAndGetsTrialsOnly() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        for (int id = 1; id < 4; id++) {
+            exchange.logic.offered(at(1), contact(id, CHEAP, 9));
+        }
+        exchange.logic.stopped(at(3));
+        assertFalse(exchange.logic.at(102).silent());
+        exchange.logic.offered(at(8), contact(9, CHEAP, 3));
+        exchange.logic.offered(at(8.1), contact(10, CHEAP, 3));
+        assertTrue(exchange.orders().contains("defer 10"));
+    }
+
+    @Test
+    public void aTurnBackLowersATandemsWeightAndTimeMendsIt() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        Logic.Switch tandem = exchange.logic.at(102);
+        group.judge(tandem, false);
+        double low = group.weight(tandem);
+        assertTrue(low < Logic.WEIGHT_NEW);
+        group.judge(tandem, true);
+        assertTrue(group.weight(tandem) > low);
+        exchange.logic.stopped(at(500));
+        assertTrue(group.weight(tandem) > 0.95);
+    }
+
+    @Test
+    public void theSameEventsGiveTheSameOrders() {
+        List<List<String>> twice = new java.util.ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            Exchange exchange = new Exchange().ready(20, 40).group(1, 0, 40);
+            for (int id = 1; id < 30; id++) {
+                exchange.logic.offered(at(1 + id * 0.1), contact(id, id % 2, 3));
+            }
+            twice.add(List.copyOf(exchange.ordered));
+        }
+        assertEquals(twice.get(0), twice.get(1));
+    }
+}
