Rings out over answers per time tell the own processor's wait early

Guards also against a surge from own callers; may hold back too much where answers are few. A switch that swallows rings counts for three.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -22,6 +22,7 @@
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
+    static final int MOST_OUT = 3;
     // The part of its answer target that a contact may wait for a circuit; the rest is for the set-up.
     static final double WORTH_WAITING = 0.75;
     static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
@@ -46,14 +47,14 @@
 
     /** A contact looks for its next ring: first at the own exchange's switch, then at its destination's. */
     record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil,
-               long spurned) implements Note<Switch> {
+               long spurned, int out) implements Note<Switch> {
         public void to(Switch a) { a.asked(this); }
 
         int width() { return Math.max(1, contact.width()); }
 
         boolean urgent() { return skill.rank == 0; }
 
-        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, spurned); }
+        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, spurned, out); }
     }
 
     record Through(Ask ask, List<Switch> others) implements Note<Switch> {
@@ -202,7 +203,7 @@
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking;
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
-        final Tally sent = new Tally(urgentOne.target, now);
+        final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now);
         double warmRate, budget, cutBy, usual;
         Moment budgetAt = now, lastSign = now, lastTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
         Span wait = Span.ZERO;
@@ -213,6 +214,7 @@
 
         void stood(long contact, Span took) {
             setUps.add(took, now);
+            answers.add(1, now);
             lastSign = now;
             rings.computeIfPresent(contact, (id, ring) -> new Held(ring.skill, ring.width, null));
         }
@@ -343,7 +345,7 @@
         }
 
         /** The part of the contacts of this skill to keep back from this processor. */
-        double pressure(Skill skill) {
+        double pressure(Skill skill, int out) {
             if (now.before(fullUntil)) {
                 return 1;
             }
@@ -352,7 +354,9 @@
             double fresh = Math.pow(0.5, age.over(urgentOne.target));
             Span rings = this == home() ? setUps.quantile(0.25, now)
                     : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
-            double slow = wait.times(fresh).least(rings).over(skill.target);
+            // Rings out over answers in a time is the wait to come: it shows a jam before its first slow answer.
+            double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now)) * answers.period.over(skill.target);
+            double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
             return skill.rank == 0 ? ramp(slow, 1, 2)
                     : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
         }
@@ -366,7 +370,7 @@
                 lastTrial = trial ? now : lastTrial;
                 return trial ? null : Reason.DOWN;
             }
-            double back = pressure(ask.skill);
+            double back = pressure(ask.skill, this == ask.destination ? 0 : ask.out);
             return back >= 1 || ask.first && chance.nextDouble() < back ? Reason.PRESSED : null;
         }
 
@@ -467,7 +471,7 @@
 
         void through(Ask ask, List<Switch> others) {
             if (coldPart() >= 1 && state == SwitchLine.State.READY && !silent()
-                    && pressure(ask.skill) == 0 && admits(ask, true) == null) {
+                    && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
                 take(ask);
             } else if (others.isEmpty()) {
                 ask.destination.put(new NoTandem(ask));
@@ -563,10 +567,18 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil, one.spurned));
+                    one.destination, !one.asked, one.worthUntil, one.spurned, out()));
             one.asked = true;
         }
 
+        /** Rings without an answer; a switch that swallows them counts for a few only. */
+        int out() {
+            Map<Switch, Integer> out = new HashMap<>();
+            open.values().stream().filter(one -> one.doing == Doing.RINGING)
+                    .forEach(one -> out.merge(one.at, 1, (a, b) -> Math.min(MOST_OUT, a + b)));
+            return out.values().stream().mapToInt(count -> count).sum();
+        }
+
         void granted(long contact, Switch target) {
             Open one = at(contact);
             if (one == null || one.doing != Doing.SEEKING || !now.before(one.end)) {
