--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -47,14 +47,14 @@
 
     /** A contact looks for its next ring: first at the own exchange's switch, then at its destination's. */
     record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil,
-               long spurned, int out) implements Note<Switch> {
+               int out) implements Note<Switch> {
         public void to(Switch a) { a.asked(this); }
 
         int width() { return Math.max(1, contact.width()); }
 
         boolean urgent() { return skill.rank == 0; }
 
-        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, spurned, out); }
+        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, out); }
     }
 
     record Through(Ask ask, List<Switch> others) implements Note<Switch> {
@@ -203,7 +203,8 @@
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking;
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
-        final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now);
+        final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now),
+                asks = new Tally(urgentOne.target, now);
         double warmRate, budget, cutBy, usual;
         Moment budgetAt = now, lastSign = now, lastTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
         Span wait = Span.ZERO;
@@ -224,7 +225,6 @@
             state = line.state();
             if (line.started() != null && (started == null || started.before(line.started()))) {
                 // What was known of the processor that ran before says nothing of this one.
-                warmRate = Math.max(warmRate, sent.mean(now) / sent.period.ns() * 1e9);
                 started = line.started();
                 budget = 0;
                 budgetAt = lastSign = now;
@@ -276,6 +276,7 @@
             held[ask.skill.id] += ask.width();
             free -= ask.width();
             sent.add(1, now);
+            warmRate += coldPart() < 1 ? 0 : (sent.mean(now) - warmRate) / 16;
             front.put(new Granted(ask.contact.id(), this));
         }
 
@@ -327,7 +328,7 @@
 
         double coldPart() {
             double age = started == null ? 1 : Math.max(0, now.since(started).over(warmWithin));
-            return age >= 1 ? 1 : coldShare + (1 - coldShare) * age * age;
+            return age >= 1 ? 1 : coldShare + (1 - coldShare) * age;
         }
 
         /** Each exchange sends a cold processor its own usual part, cut as its capacity is. */
@@ -336,8 +337,9 @@
             if (part >= 1) {
                 return true;
             }
-            double rate = Math.max(warmRate, 0.2) * part * FULL_WORK;
-            budget = Math.min(2, budget + rate * now.since(budgetAt).ns() / 1e9);
+            // Asks count by half: after a refusal the same caller asks again.
+            double usualSent = Math.max(warmRate, asks.mean(now) / 2);
+            budget = Math.min(2, budget + usualSent * part * FULL_WORK * now.since(budgetAt).over(sent.period));
             budgetAt = now;
             boolean may = budget >= (ask.urgent() ? 1 : 1.5);
             budget -= may ? 1 : 0;
@@ -384,6 +386,7 @@
                 }
                 return;
             }
+            asks.add(ask.first ? 1 : 0, now);
             if (ask.first && ask.urgent()) {
                 want(ask.contact, ask.skill);
             }
@@ -452,7 +455,7 @@
         /** Tandems in an order drawn by weight; a cheap contact draws once, and often gets none. */
         List<Switch> draw(Ask ask) {
             List<Switch> left = new ArrayList<>(switches.values());
-            left.removeIf(other -> other == this || other == home() || other.id == ask.spurned);
+            left.removeIf(other -> other == this || other == home());
             List<Switch> drawn = new ArrayList<>();
             while (!left.isEmpty() && (ask.urgent() || ask.first)) {
                 double at = chance.nextDouble() * left.stream().mapToDouble(this::weight).sum();
@@ -506,7 +509,6 @@
         int rings;
         boolean asked;
         Switch at, destination;
-        long spurned = -1;
         Moment seekAt;
 
         Open(Contact contact, Skill skill, Moment end, Moment worthUntil) {
@@ -567,7 +569,7 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil, one.spurned, out()));
+                    one.destination, !one.asked, one.worthUntil, out()));
             one.asked = true;
         }
 
@@ -600,10 +602,8 @@
                 open.remove(end.contact());
                 return;
             }
-            boolean tandem = one.at != one.destination;
-            if (tandem && end.cause() != Cause.NOT_SENT) {
+            if (one.at != one.destination && end.cause() != Cause.NOT_SENT) {
                 one.destination.put(new Judge(one.at, false));
-                one.spurned = one.at.id;
             }
             if (one.contact.inTransit()) {
                 defer(one);
@@ -781,28 +781,21 @@
         return switches.computeIfAbsent(id, Switch::new);
     }
 
-    private void loop() {
-        while (!busy.isEmpty()) {
-            busy.poll().empty();
-        }
-    }
-
     @Override
     public void listed(Moment at, ListKind kind, List<SwitchLine> lines) {
         now = at;
         List<Long> named = new ArrayList<>();
         for (SwitchLine line : lines) {
             named.add(line.id());
-            at(line.id()).put(new Told(line));
+            tell(at, at(line.id()), new Told(line));
         }
         if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
             for (Switch one : switches.values()) {
                 if (!named.contains(one.id)) {
-                    one.put(new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0)));
+                    tell(at, one, new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0)));
                 }
             }
         }
-        loop();
     }
 
     private <A extends Actor<A>> void tell(Moment at, A actor, Note<A> note) {
@@ -810,7 +803,9 @@
         if (actor != null) {
             actor.put(note);
         }
-        loop();
+        while (!busy.isEmpty()) {
+            busy.poll().empty();
+        }
     }
 
     @Override
