--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -372,7 +372,7 @@
                     * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
             if (this == home()) {
-                return slow > (skill.rank == 0 ? 1.5 : 0.6) ? 1 : 0;
+                return slow > (skill.rank == 0 ? 1.0 : 0.25) ? 1 : 0;
             }
             return skill.rank == 0 ? ramp(slow, 1, 2)
                     : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
