--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -46,15 +46,15 @@
     }
 
     /** A contact looks for its next ring: first at the own exchange's switch, then at its destination's. */
-    record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil)
-            implements Note<Switch> {
+    record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil,
+               int out) implements Note<Switch> {
         public void to(Switch a) { a.asked(this); }
 
         int width() { return Math.max(1, contact.width()); }
 
         boolean urgent() { return skill.rank == 0; }
 
-        Ask again() { return new Ask(contact, skill, destination, false, waitUntil); }
+        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, out); }
     }
 
     record Through(Ask ask, List<Switch> others) implements Note<Switch> {
@@ -77,14 +77,6 @@
 
     record Serve() implements Note<Switch> { public void to(Switch a) { a.tickRung(); } }
     record Told(SwitchLine line) implements Note<Switch> { public void to(Switch a) { a.listed(line); } }
-    record Rang(long contact, Switch target) implements Note<Switch> {
-        public void to(Switch a) { a.out.computeIfAbsent(target, any -> new HashSet<>()).add(contact); }
-    }
-
-    record Quiet(long contact) implements Note<Switch> {
-        public void to(Switch a) { a.out.values().forEach(rang -> rang.remove(contact)); }
-    }
-
     record Reported(float[] says) implements Note<Switch> { public void to(Switch a) { a.reported(says); } }
     record Judge(Switch tandem, boolean well) implements Note<Switch> {
         public void to(Switch a) { a.judge(tandem, well); }
@@ -206,7 +198,6 @@
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
         final Tally urgent = new Tally(urgentOne.hold, now);
-        final Map<Switch, Set<Long>> out = new LinkedHashMap<>();
         final Map<Long, Moment> wanted = new LinkedHashMap<>();
         final Map<Long, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
@@ -356,7 +347,7 @@
         }
 
         /** The part of the contacts of this skill to keep back from this processor. */
-        double pressure(Skill skill) {
+        double pressure(Skill skill, int out) {
             if (now.before(fullUntil)) {
                 return 1;
             }
@@ -365,15 +356,9 @@
             double fresh = Math.pow(0.5, age.over(urgentOne.target));
             Span rings = this == home() ? setUps.quantile(0.25, now)
                     : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
-            // Rings out over answers in a time are the wait to come: they show a jam before the first slow answer.
-            // A switch that swallows rings counts for a few only.
-            int count = out.values().stream().mapToInt(rang -> Math.min(MOST_OUT, rang.size())).sum();
-            double queued = Math.max(0, count - 1) / Math.max(3, answers.mean(now))
-                    * answers.period.over(skill.target);
+            // Rings out over answers in a time is the wait to come: it shows a jam before its first slow answer.
+            double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now)) * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
-            if (this == home()) {
-                return slow > (skill.rank == 0 ? 1.0 : 0.25) ? 1 : 0;
-            }
             return skill.rank == 0 ? ramp(slow, 1, 2)
                     : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
         }
@@ -387,7 +372,7 @@
                 lastTrial = trial ? now : lastTrial;
                 return trial ? null : Reason.DOWN;
             }
-            double back = pressure(ask.skill);
+            double back = pressure(ask.skill, this == ask.destination ? 0 : ask.out);
             return back >= 1 || ask.first && chance.nextDouble() < back ? Reason.PRESSED : null;
         }
 
@@ -421,15 +406,13 @@
 
         /** What may still pay within its answer target waits: for a circuit, or where it is the dearest. */
         void refuse(Ask ask, Reason reason) {
-            boolean may = reason == Reason.FULL || this == home() || ask.urgent() && reason != Reason.DOWN;
+            boolean may = reason == Reason.FULL || ask.urgent() && reason != Reason.DOWN;
             if (ask.contact.inTransit() || !may || !now.before(ask.waitUntil)) {
                 front.put(new Denied(ask.contact.id()));
                 return;
             }
             int at = 0;
-            // The newest of a skill first: under a lasting press some are in time, not all of them late.
-            while (at < waiting.size() && (waiting.get(at).skill.rank < ask.skill.rank
-                    || waiting.get(at).skill == ask.skill && ask.waitUntil.before(waiting.get(at).waitUntil))) {
+            while (at < waiting.size() && waiting.get(at).skill.rank <= ask.skill.rank) {
                 at++;
             }
             waiting.add(at, ask);
@@ -491,7 +474,7 @@
 
         void through(Ask ask, List<Switch> others) {
             if (coldPart() >= 1 && state == SwitchLine.State.READY && !silent()
-                    && pressure(ask.skill) == 0 && admits(ask, true) == null) {
+                    && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
                 take(ask);
             } else if (others.isEmpty()) {
                 ask.destination.put(new NoTandem(ask));
@@ -586,10 +569,18 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil));
+                    one.destination, !one.asked, one.worthUntil, out()));
             one.asked = true;
         }
 
+        /** Rings without an answer; a switch that swallows them counts for a few only. */
+        int out() {
+            Map<Switch, Integer> out = new HashMap<>();
+            open.values().stream().filter(one -> one.doing == Doing.RINGING)
+                    .forEach(one -> out.merge(one.at, 1, (a, b) -> Math.min(MOST_OUT, a + b)));
+            return out.values().stream().mapToInt(count -> count).sum();
+        }
+
         void granted(long contact, Switch target) {
             Open one = at(contact);
             if (one == null || one.doing != Doing.SEEKING || !now.before(one.end)) {
@@ -599,9 +590,6 @@
             one.doing = Doing.RINGING;
             one.at = target;
             one.rings++;
-            if (home() != null) {
-                home().put(new Rang(contact, target));
-            }
             orders.ring(contact, target.id, one.end.since(now));
         }
 
@@ -829,7 +817,6 @@
     public void stands(Moment at, long contact, int ring, long target, Span took) {
         tell(at, at(target), new Stood(contact, took));
         tell(at, home(), new Stood(contact, took));
-        tell(at, home(), new Quiet(contact));
         tell(at, front, new Answered(contact));
     }
 
@@ -840,7 +827,6 @@
             // A jammed own processor lets nothing stand: what timed out must count as a slow set-up there.
             tell(at, home(), new Stood(end.contact(), end.took()));
         }
-        tell(at, home(), new Quiet(end.contact()));
         tell(at, front, new Over(end));
     }
 
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -181,10 +181,10 @@
         Exchange exchange = new Exchange().ready(20, 40);
         Logic.Switch group = exchange.logic.at(101);
         exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {20, 40, 0.9f});
-        assertEquals(group.pressure(ask(exchange, CHEAP, 1).skill()), 0.9, 1e-6);
-        assertEquals(group.pressure(ask(exchange, URGENT, 1).skill()), 0.0);
+        assertEquals(group.pressure(ask(exchange, CHEAP, 1).skill(), 0), 0.9, 1e-6);
+        assertEquals(group.pressure(ask(exchange, URGENT, 1).skill(), 0), 0.0);
         exchange.logic.stopped(at(6));
-        assertTrue(group.pressure(ask(exchange, CHEAP, 1).skill()) < 0.05);
+        assertTrue(group.pressure(ask(exchange, CHEAP, 1).skill(), 0) < 0.05);
     }
 
     @Test
@@ -194,7 +194,7 @@
             exchange.logic.ringEnded(at(1), new RingEnd(id, 0, 101, Cause.TIMED_OUT, Blame.NONE,
                     Span.ofMillis(2700), Span.ZERO, false, new float[0]));
         }
-        assertTrue(exchange.logic.home().pressure(ask(exchange, CHEAP, 1).skill()) > 0.9);
+        assertTrue(exchange.logic.home().pressure(ask(exchange, CHEAP, 1).skill(), 0) > 0.9);
     }
 
     @Test
