--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -464,7 +464,8 @@
                     picked++;
                 }
                 Switch tandem = left.remove(picked);
-                if (drawn.isEmpty() && !ask.urgent() && chance.nextDouble() > weight(tandem)) {
+                double go = Math.max(WEIGHT_LEAST, ramp(weight(tandem), 0.2, 0.5));
+                if (drawn.isEmpty() && !ask.urgent() && chance.nextDouble() > go) {
                     return drawn;
                 }
                 drawn.add(tandem);
