--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -464,7 +464,7 @@
                     picked++;
                 }
                 Switch tandem = left.remove(picked);
-                double go = Math.max(WEIGHT_LEAST, ramp(weight(tandem), 0.2, 0.5));
+                double go = Math.max(WEIGHT_LEAST, ramp(weight(tandem), 0.35, 0.65));
                 if (drawn.isEmpty() && !ask.urgent() && chance.nextDouble() > go) {
                     return drawn;
                 }
