--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -14,7 +14,7 @@
 public final class Logic implements Controller {
     // The paper's thresholds of urgent demand, and Table 2's upper limits for each stage over the stage's
     // total: emergency, gold, silver, bronze.
-    static final double[] STAGES = {0.112, 0.256, 0.40, 0.60};
+    static final double[] STAGES = {0.02, 0.256, 0.40, 0.60};
     static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
