--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -18,7 +18,7 @@
     static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
-    static final double NEAR_FULL = 0.25, NEAR_FULL_TANDEM = 0.5;
+    static final double NEAR_FULL = 0.15, NEAR_FULL_TANDEM = 0.5;
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
@@ -308,7 +308,7 @@
             if (free < ask.width() || reserved(ask)) {
                 return Reason.FULL;
             }
-            double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * Math.sqrt(size), widest);
+            double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * Math.sqrt(size), urgentOne.width);
             if (ask.urgent() || free - ask.width() >= level) {
                 return null;
             }
