--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -406,7 +406,7 @@
 
         /** What may still pay within its answer target waits: for a circuit, or where it is the dearest. */
         void refuse(Ask ask, Reason reason) {
-            boolean may = reason == Reason.FULL || ask.urgent() && reason != Reason.DOWN;
+            boolean may = reason == Reason.FULL || reason == Reason.SHARE || ask.urgent() && reason != Reason.DOWN;
             if (ask.contact.inTransit() || !may || !now.before(ask.waitUntil)) {
                 front.put(new Denied(ask.contact.id()));
                 return;
