--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -12,12 +12,14 @@
  * for each switch owns the group toward it, the Front owns contacts, rings, clocks and final answers.
  */
 public final class Logic implements Controller {
-    // The paper's thresholds of urgent demand, and Table 2's upper limits for each stage over the stage's
+    // Thresholds of urgent demand: the paper's but for the first, where 11.2% is never met at a few in a
+    // hundred urgent contacts and a full group then keeps nothing for them. With them Table 2's upper limits for each stage over the stage's
     // total: emergency, gold, silver, bronze.
     static final double[] STAGES = {0.02, 0.256, 0.40, 0.60};
     static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
+    // One contact over a tandem takes circuits of two groups, so there they bind earlier.
     static final double NEAR_FULL = 0.15, NEAR_FULL_TANDEM = 0.5;
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
@@ -159,8 +161,7 @@
         /** The mean for one period; while young, over what has passed but not under a whole period. */
         double mean(Moment now) {
             turn(now);
-            double passed = now.since(began).over(period);
-            double seen = passed < bins.length ? passed : bins.length - 1 + passed - Math.floor(passed);
+            double seen = Math.min(bins.length - 0.5, now.since(began).over(period));
             return Arrays.stream(bins).sum() / Math.max(1, seen);
         }
     }
@@ -308,7 +309,8 @@
             if (free < ask.width() || reserved(ask)) {
                 return Reason.FULL;
             }
-            double level = Math.max((tandem ? NEAR_FULL_TANDEM : NEAR_FULL) * Math.sqrt(size), urgentOne.width);
+            double roots = tandem ? NEAR_FULL_TANDEM : NEAR_FULL;
+            double level = Math.max(roots * Math.sqrt(size), urgentOne.width);
             if (ask.urgent() || free - ask.width() >= level) {
                 return null;
             }
@@ -339,7 +341,8 @@
             }
             // Asks count by half: after a refusal the same caller asks again.
             double usualSent = Math.max(warmRate, asks.mean(now) / 2);
-            budget = Math.min(2, budget + usualSent * part * FULL_WORK * now.since(budgetAt).over(sent.period));
+            double periods = now.since(budgetAt).over(sent.period);
+            budget = Math.min(2, budget + usualSent * part * FULL_WORK * periods);
             budgetAt = now;
             boolean may = budget >= (ask.urgent() ? 1 : 1.5);
             budget -= may ? 1 : 0;
@@ -356,8 +359,9 @@
             double fresh = Math.pow(0.5, age.over(urgentOne.target));
             Span rings = this == home() ? setUps.quantile(0.25, now)
                     : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
-            // Rings out over answers in a time is the wait to come: it shows a jam before its first slow answer.
-            double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now)) * answers.period.over(skill.target);
+            // Rings out over answers in a time is the wait to come, known before the first slow answer.
+            double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now))
+                    * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
             return skill.rank == 0 ? ramp(slow, 1, 2)
                     : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
@@ -406,7 +410,7 @@
 
         /** What may still pay within its answer target waits: for a circuit, or where it is the dearest. */
         void refuse(Ask ask, Reason reason) {
-            boolean may = reason == Reason.FULL || reason == Reason.SHARE || ask.urgent() && reason != Reason.DOWN;
+            boolean may = reason == Reason.FULL || ask.urgent() && reason != Reason.DOWN;
             if (ask.contact.inTransit() || !may || !now.before(ask.waitUntil)) {
                 front.put(new Denied(ask.contact.id()));
                 return;
@@ -686,7 +690,7 @@
     private final Map<Long, Switch> switches = new TreeMap<>();
     final Skill[] skills;
     private Skill urgentOne;
-    private int cheapest, widest = 1;
+    private int cheapest;
     private Span patienceMost = Span.ZERO;
     private final List<String> fields;
     private final Span round, release, comeBack, warmWithin;
@@ -742,7 +746,6 @@
             Span hold = new Span((long) item(settings.get("family-info.mean-hold-ns"), skill, 1e10));
             all[skill] = new Skill(skill, rank, row, width, new Span((long) number(at + "aim-ns", 1e9)), hold,
                     new Span((long) number(at + "hard-limit-ns", 9e9)));
-            widest = Math.max(widest, width);
             patienceMost = patienceMost.least(all[skill].patience);
         }
         urgentOne = all[byValue[0]];
@@ -769,13 +772,8 @@
 
     /** While a machine replaces another, both bear the number: the one that takes what is new counts. */
     Switch byNumber(int number) {
-        Switch found = null;
-        for (Switch one : switches.values()) {
-            if (one.number == number && (found == null || one.state == SwitchLine.State.READY)) {
-                found = one;
-            }
-        }
-        return found;
+        return switches.values().stream().filter(one -> one.number == number)
+                .min(Comparator.comparing(one -> one.state != SwitchLine.State.READY)).orElse(null);
     }
 
     Switch at(long id) {
@@ -784,19 +782,11 @@
 
     @Override
     public void listed(Moment at, ListKind kind, List<SwitchLine> lines) {
-        now = at;
-        List<Long> named = new ArrayList<>();
-        for (SwitchLine line : lines) {
-            named.add(line.id());
-            tell(at, at(line.id()), new Told(line));
-        }
-        if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
-            for (Switch one : switches.values()) {
-                if (!named.contains(one.id)) {
-                    tell(at, one, new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0)));
-                }
-            }
-        }
+        lines.forEach(line -> tell(at, at(line.id()), new Told(line)));
+        boolean all = kind == ListKind.WHOLE || kind == ListKind.REMEMBERED;
+        List<Long> named = lines.stream().map(SwitchLine::id).toList();
+        switches.values().stream().filter(one -> all && !named.contains(one.id)).forEach(one -> tell(at, one,
+                new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0))));
     }
 
     private <A extends Actor<A>> void tell(Moment at, A actor, Note<A> note) {
