--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -12,9 +12,9 @@
  * for each switch owns the group toward it, the Front owns contacts, rings, clocks and final answers.
  */
 public final class Logic implements Controller {
-    // Thresholds of urgent demand: the paper's but for the first, where 11.2% is never met at a few in a
-    // hundred urgent contacts and a full group then keeps nothing for them. With them Table 2's upper limits for each stage over the stage's
-    // total: emergency, gold, silver, bronze.
+    // Thresholds of urgent demand: the paper's but for the first, as 11.2% is never met at a few urgent
+    // contacts in a hundred, and a full group then keeps nothing for them. Table 2's upper limits over their
+    // stage's total: emergency, gold, silver, bronze.
     static final double[] STAGES = {0.02, 0.256, 0.40, 0.60};
     static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
