Silence is kept until a set-up is answered

Guards also against hung, cut off and vanished switches; may keep a switch that answers only rarely on trials.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -202,7 +202,7 @@
         final Map<Long, Moment> wanted = new LinkedHashMap<>();
         final Map<Long, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
-        boolean ticking;
+        boolean ticking, mute;
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
         final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now),
                 asks = new Tally(urgentOne.target, now);
@@ -217,7 +217,7 @@
         void stood(long contact, Span took) {
             setUps.add(took, now);
             answers.add(1, now);
-            lastSign = now;
+            sign();
             rings.computeIfPresent(contact, (id, ring) -> new Held(ring.skill, ring.width, null));
         }
 
@@ -228,7 +228,8 @@
                 // What was known of the processor that ran before says nothing of this one.
                 started = line.started();
                 budget = 0;
-                budgetAt = lastSign = now;
+                budgetAt = now;
+                sign();
                 toldAt = NEVER;
             }
         }
@@ -255,9 +256,11 @@
         }
 
         void ended(RingEnd end) {
-            giveBack(end.contact());
-            if (EnumSet.of(Cause.TURNED_BACK, Cause.CONCLUDED, Cause.BUSY).contains(end.cause())) {
-                lastSign = now;
+            Held ring = giveBack(end.contact());
+            if (end.cause() == Cause.TURNED_BACK || end.cause() == Cause.BUSY) {
+                sign();
+            } else if (end.cause() == Cause.TIMED_OUT && ring != null && ring.since != null) {
+                mute |= lastSign.before(ring.since);
             }
             if (end.cause() == Cause.TURNED_BACK && end.blame() == Blame.PROCESSOR) {
                 fullUntil = now.plus(end.stayAway().least(urgentOne.target.times(0.2)));
@@ -265,11 +268,17 @@
             reported(end.report());
         }
 
-        void giveBack(long contact) {
+        Held giveBack(long contact) {
             Held ring = rings.remove(contact);
             if (ring != null) {
                 held[ring.skill.id] -= ring.width;
             }
+            return ring;
+        }
+
+        void sign() {
+            lastSign = now;
+            mute = false;
         }
 
         void take(Ask ask) {
@@ -317,15 +326,15 @@
             return !tandem && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
         }
 
-        /** Rings out and no word for longer than set-ups here take: it may be hung, cut off or very slow. */
+        /** Rings out and no word for longer than set-ups here take: it may be hung, cut off, jammed or slow. */
         boolean silent() {
             Span longest = setUps.quantile(0.9, now).times(2).least(urgentOne.target);
             for (Held ring : rings.values()) {
                 if (ring.since != null) {
-                    return lastSign.before(ring.since) && now.since(ring.since).longerThan(longest);
+                    return mute || lastSign.before(ring.since) && now.since(ring.since).longerThan(longest);
                 }
             }
-            return false;
+            return mute;
         }
 
         double coldPart() {
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -212,6 +212,19 @@
         assertTrue(exchange.orders().contains("defer 10"));
     }
 
+    @Test
+    public void aSwitchWhoseRingsTimeOutStaysSilentUntilItAnswersASetUp() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        exchange.logic.offered(at(1), contact(1, CHEAP, 3));
+        exchange.logic.offered(at(1), contact(2, CHEAP, 3));
+        exchange.logic.ringEnded(at(4), end(1, 0, Cause.TIMED_OUT, Blame.NONE));
+        exchange.logic.ringEnded(at(4), end(2, 0, Cause.CONCLUDED, Blame.NONE));
+        assertTrue(group.silent());
+        exchange.logic.stands(at(5), 3, 0, 101, Span.ofMillis(100));
+        assertFalse(group.silent());
+    }
+
     @Test
     public void aTurnBackLowersATandemsWeightAndTimeMendsIt() {
         Exchange exchange = new Exchange().ready(20, 40);
