A contact kept back by the own processor looks again within its target

Cause: refusing at once makes callers redial, and each look at a redial costs the jammed processor work; a contact that may still be in time is looked at up to three times instead. Guards against own jams and surges; harms where all looks fail, by holding a contact for up to 0.75 of its target.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -25,8 +25,9 @@
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
     static final int MOST_OUT = 3;
-    // The part of its answer target that a contact may wait for a circuit; the rest is for the set-up.
-    static final double WORTH_WAITING = 0.75;
+    // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
+    // the part after which it looks again where its own processor had no room.
+    static final double WORTH_WAITING = 0.75, AGAIN = 0.25;
     static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
 
     enum Reason { SHARE, FULL, PRESSED, COLD, DOWN }
@@ -42,7 +43,10 @@
     record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.letGo(a.at(id)); } }
     record Rung(long contact) implements Note<Front> { public void to(Front a) { a.rung(contact); } }
     record Tick(Switch asker) implements Note<Front> { public void to(Front a) { a.tick(asker); } }
-    record Denied(long id) implements Note<Front> { public void to(Front a) { a.defer(a.at(id)); } }
+    record Denied(long id, boolean own) implements Note<Front> {
+        public void to(Front a) { a.denied(a.at(id), own); }
+    }
+
     record Granted(long contact, Switch target) implements Note<Front> {
         public void to(Front a) { a.granted(contact, target); }
     }
@@ -326,15 +330,11 @@
             return !tandem && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
         }
 
-        /** Rings out and no word for longer than set-ups here take: it may be hung, cut off, jammed or slow. */
+        /** Rings out and no word for longer than set-ups here take: it may be hung, cut off, jammed, slow. */
         boolean silent() {
             Span longest = setUps.quantile(0.9, now).times(2).least(urgentOne.target);
-            for (Held ring : rings.values()) {
-                if (ring.since != null) {
-                    return mute || lastSign.before(ring.since) && now.since(ring.since).longerThan(longest);
-                }
-            }
-            return mute;
+            return mute || rings.values().stream().filter(ring -> ring.since != null).limit(1)
+                    .anyMatch(out -> lastSign.before(out.since) && now.since(out.since).longerThan(longest));
         }
 
         double coldPart() {
@@ -421,7 +421,7 @@
         void refuse(Ask ask, Reason reason) {
             boolean may = reason == Reason.FULL || ask.urgent() && reason != Reason.DOWN;
             if (ask.contact.inTransit() || !may || !now.before(ask.waitUntil)) {
-                front.put(new Denied(ask.contact.id()));
+                front.put(new Denied(ask.contact.id(), this != ask.destination));
                 return;
             }
             int at = 0;
@@ -515,7 +515,7 @@
 
     enum Doing { SEEKING, RINGING, RELEASING }
 
-    private static final class Open {
+    static final class Open {
         final Contact contact;
         final Skill skill;
         final Moment end, worthUntil;
@@ -548,6 +548,17 @@
             }
         }
 
+        /** Where the own processor has no room, a few more looks within the time that pays spare redials. */
+        void denied(Open one, boolean own) {
+            Moment again = now.plus(urgentOne.target.times(AGAIN));
+            if (one != null && own && !one.contact.inTransit() && again.before(one.worthUntil)) {
+                one.asked = false;
+                seekAt(one, again);
+            } else {
+                defer(one);
+            }
+        }
+
         void tick(Switch asker) {
             orders.clock(urgentOne.target.times(0.04).least(round), asker.id * 2 + 1);
         }
@@ -706,7 +717,7 @@
     private final double coldShare;
     private final int mostRings, homeNumber;
     private final boolean mayCallOff, mayProbe;
-    private final Front front = new Front();
+    final Front front = new Front();
 
     public Logic(Map<String, String> settings, long seed, Moment now, Orders orders) {
         this.settings = settings;
@@ -789,8 +800,7 @@
         return switches.computeIfAbsent(id, Switch::new);
     }
 
-    @Override
-    public void listed(Moment at, ListKind kind, List<SwitchLine> lines) {
+    @Override public void listed(Moment at, ListKind kind, List<SwitchLine> lines) {
         lines.forEach(line -> tell(at, at(line.id()), new Told(line)));
         boolean all = kind == ListKind.WHOLE || kind == ListKind.REMEMBERED;
         List<Long> named = lines.stream().map(SwitchLine::id).toList();
@@ -808,20 +818,17 @@
         }
     }
 
-    @Override
-    public void offered(Moment at, Contact contact) {
+    @Override public void offered(Moment at, Contact contact) {
         tell(at, front, new Offered(contact));
     }
 
-    @Override
-    public void stands(Moment at, long contact, int ring, long target, Span took) {
+    @Override public void stands(Moment at, long contact, int ring, long target, Span took) {
         tell(at, at(target), new Stood(contact, took));
         tell(at, home(), new Stood(contact, took));
         tell(at, front, new Answered(contact));
     }
 
-    @Override
-    public void ringEnded(Moment at, RingEnd end) {
+    @Override public void ringEnded(Moment at, RingEnd end) {
         tell(at, at(end.target()), new Ended(end));
         if (end.cause() == Cause.TIMED_OUT) {
             // A jammed own processor lets nothing stand: what timed out must count as a slow set-up there.
@@ -830,13 +837,11 @@
         tell(at, front, new Over(end));
     }
 
-    @Override
-    public void callerGone(Moment at, long contact) {
+    @Override public void callerGone(Moment at, long contact) {
         tell(at, front, new CallerGone(contact));
     }
 
-    @Override
-    public void clockRung(Moment at, long token) {
+    @Override public void clockRung(Moment at, long token) {
         if ((token & 1) == 1) {
             tell(at, at(token >> 1), new Serve());
         } else {
@@ -844,18 +849,11 @@
         }
     }
 
-    @Override
-    public void reported(Moment at, long target, boolean reached, Span took, float[] report) {
+    @Override public void reported(Moment at, long target, boolean reached, Span took, float[] report) {
         tell(at, at(target), new Reported(report));
     }
 
-    @Override
-    public void peerNote(Moment at, int peer, byte[] note) {
-        now = at;
-    }
+    @Override public void peerNote(Moment at, int peer, byte[] note) { now = at; }
 
-    @Override
-    public void stopped(Moment at) {
-        now = at;
-    }
+    @Override public void stopped(Moment at) { now = at; }
 }
