Cheap redials past the answer target of their first try go last

The number dialled is remembered for the longest patience; a cheap contact past its target binds as early as tandem use, takes no tandem, does not wait and is kept back three times as readily. Holds for any overload with redials; harms callers who share a busy number.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -53,14 +53,17 @@
 
     /** A contact looks for its next ring: first at the own exchange's switch, then at its destination's. */
     record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil,
-               int out) implements Note<Switch> {
+               int out, Moment firstTry) implements Note<Switch> {
         public void to(Switch a) { a.asked(this); }
 
         int width() { return Math.max(1, contact.width()); }
 
         boolean urgent() { return skill.rank == 0; }
 
-        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, out); }
+        /** Its answer target began with the first try: a cheap contact past it pays little and goes last. */
+        boolean late(Moment now) { return !urgent() && !now.before(firstTry.plus(skill.target)); }
+
+        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, out, firstTry); }
     }
 
     record Through(Ask ask, List<Switch> others) implements Note<Switch> {
@@ -203,7 +206,6 @@
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
         final Tally urgent = new Tally(urgentOne.hold, now);
-        final Map<Long, Moment> wanted = new LinkedHashMap<>();
         final Map<Long, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking, mute;
@@ -322,12 +324,12 @@
             if (free < ask.width() || reserved(ask)) {
                 return Reason.FULL;
             }
-            double roots = tandem ? NEAR_FULL_TANDEM : NEAR_FULL;
+            double roots = tandem || ask.late(now) ? NEAR_FULL_TANDEM : NEAR_FULL;
             double level = Math.max(roots * Math.sqrt(size), urgentOne.width);
             if (ask.urgent() || free - ask.width() >= level) {
                 return null;
             }
-            return !tandem && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
+            return !tandem && !ask.late(now) && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
         }
 
         /** Rings out and no word for longer than set-ups here take: it may be hung, cut off, jammed, slow. */
@@ -386,6 +388,7 @@
                 return trial ? null : Reason.DOWN;
             }
             double back = pressure(ask.skill, this == ask.destination ? 0 : ask.out);
+            back *= ask.late(now) ? 3 : 1;
             return back >= 1 || ask.first && chance.nextDouble() < back ? Reason.PRESSED : null;
         }
 
@@ -400,8 +403,9 @@
                 return;
             }
             asks.add(ask.first ? 1 : 0, now);
-            if (ask.first && ask.urgent()) {
-                want(ask.contact, ask.skill);
+            if (ask.first && ask.urgent() && now.before(ask.firstTry.plus(ask.skill.target))) {
+                // A blocked caller who asks again is one want.
+                urgent.add(ask.width(), now);
             }
             boolean transit = ask.contact.inTransit();
             if (reason == null && (reason = admits(ask, transit)) == null
@@ -435,15 +439,6 @@
             }
         }
 
-        /** A blocked caller who asks again is one want, so a number counts once while it may still redial. */
-        void want(Contact contact, Skill skill) {
-            wanted.values().removeIf(until -> until.before(now));
-            long dialled = contact.dialled();
-            if (dialled == 0 || wanted.put(dialled, now.plus(skill.patience)) == null) {
-                urgent.add(contact.width(), now);
-            }
-        }
-
         /** Circuits that come free are first for those of a dearer skill that wait for them. */
         boolean reserved(Ask ask) {
             int ahead = waiting.stream().filter(other -> other.skill.rank < ask.skill.rank)
@@ -470,7 +465,7 @@
             List<Switch> left = new ArrayList<>(switches.values());
             left.removeIf(other -> other == this || other == home());
             List<Switch> drawn = new ArrayList<>();
-            while (!left.isEmpty() && (ask.urgent() || ask.first)) {
+            while (!left.isEmpty() && (ask.urgent() || ask.first && !ask.late(now))) {
                 double at = chance.nextDouble() * left.stream().mapToDouble(this::weight).sum();
                 int picked = 0;
                 while (picked < left.size() - 1 && (at -= weight(left.get(picked))) > 0) {
@@ -518,14 +513,15 @@
     static final class Open {
         final Contact contact;
         final Skill skill;
-        final Moment end, worthUntil;
+        final Moment end, worthUntil, firstTry;
         Doing doing = Doing.SEEKING;
         int rings;
         boolean asked;
         Switch at, destination;
         Moment seekAt;
 
-        Open(Contact contact, Skill skill, Moment end, Moment worthUntil) {
+        Open(Contact contact, Skill skill, Moment end, Moment worthUntil, Moment firstTry) {
+            this.firstTry = firstTry;
             this.contact = contact;
             this.skill = skill;
             this.end = end;
@@ -535,6 +531,7 @@
 
     final class Front extends Actor<Front> {
         final Map<Long, Open> open = new LinkedHashMap<>();
+        final Map<Long, Moment> firstTries = new LinkedHashMap<>();
         Moment probedAt = NEVER;
 
         Open at(long contact) {
@@ -546,6 +543,7 @@
             if (one != null && one.at != one.destination) {
                 one.destination.put(new Judge(one.at, true));
             }
+            firstTries.remove(one == null ? 0 : one.contact.dialled());
         }
 
         /** Where the own processor has no room, a few more looks within the time that pays spare redials. */
@@ -571,7 +569,11 @@
             // Two rounds early: a clock is heard up to a round late, and a late answer counts as none.
             Moment end = now.plus(contact.patience()).plus(round.times(-2));
             Skill skill = skills[Math.min(contact.skill(), skills.length - 1)];
-            Open one = new Open(contact, skill, end, now.plus(skill.target.times(WORTH_WAITING)));
+            firstTries.values().removeIf(first -> now.since(first).longerThan(patienceMost));
+            Moment first = contact.dialled() == 0 || contact.inTransit() ? now
+                    : firstTries.computeIfAbsent(contact.dialled(), any -> now);
+            Moment worth = (skill.rank == 0 ? now : first).plus(skill.target.times(WORTH_WAITING));
+            Open one = new Open(contact, skill, end, worth, first);
             open.put(contact.id(), one);
             if (!now.before(end)) {
                 defer(one);
@@ -594,7 +596,8 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil, out()));
+                    one.destination, !one.asked, one.worthUntil, out(),
+                    one.firstTry));
             one.asked = true;
         }
 
--- a/src/test/java/martenslip/Exchange.java
+++ b/src/test/java/martenslip/Exchange.java
@@ -62,7 +62,7 @@
     }
 
     Logic.Ask ask(Contact contact) {
-        return new Logic.Ask(contact, logic.skills[contact.skill()], logic.at(101), true, at(9), 0);
+        return new Logic.Ask(contact, logic.skills[contact.skill()], logic.at(101), true, at(9), 0, at(0));
     }
 
     /** What was ordered but for clocks, which is cleared. */
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -105,12 +105,24 @@
     @Test
     public void oneCallerWhoRedialsIsOneWant() {
         Exchange exchange = new Exchange().ready(20, 40);
-        Logic.Switch group = exchange.logic.at(101);
         for (long id = 1; id < 4; id++) {
-            Contact redial = new Contact(id, URGENT, 77, 1, -1, 1, Span.ofMillis(3000), false, false, false);
-            group.want(redial, exchange.ask(redial).skill());
+            exchange.logic.offered(at(1 + 2 * id),
+                    new Contact(id, URGENT, 77, 1, -1, 1, Span.ofMillis(1000), false, false, false));
+            exchange.logic.callerGone(at(2 + 2 * id), id);
+        }
+        assertEquals(exchange.logic.at(101).urgent.bins[0], 1.0);
+    }
+
+    @Test
+    public void aCheapRedialPastItsTargetGoesLast() {
+        Exchange exchange = new Exchange().ready(2, 40);
+        for (long id = 1; id < 3; id++) {
+            exchange.logic.offered(at(2 * id), new Contact(id, CHEAP, 77, 1, -1, 1, Span.ofMillis(1500), false, false,
+                    false));
+            exchange.logic.clockRung(at(2 * id + 1.5), 2 * id);
+            exchange.group(1, 2, 40);
         }
-        assertEquals(group.urgent.mean(at(0)), 1.0);
+        assertEquals(exchange.orders(), List.of("ring 1 101", "off 1 0", "abandon 1", "defer 2"));
     }
 
     @Test
@@ -217,7 +229,7 @@
     public void keptBackByTheOwnProcessorAContactLooksAgainWhileItMayBeInTime() {
         Exchange exchange = new Exchange().ready(20, 40);
         exchange.logic.offered(at(1), contact(1, CHEAP, 3));
-        Logic.Open one = new Logic.Open(contact(2, CHEAP, 3), ask(exchange, CHEAP, 1).skill(), at(4), at(1.7));
+        Logic.Open one = new Logic.Open(contact(2, CHEAP, 3), ask(exchange, CHEAP, 1).skill(), at(4), at(1.7), at(1));
         exchange.logic.front.open.put(2L, one);
         exchange.orders();
         exchange.logic.front.denied(one, true);
