The own switch counts its asks and rings

Cause: a cold own processor got a budget from a count that was never kept, so its exchange sent nothing for its warm time (deploy, vanish).

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -4,12 +4,9 @@
 import martenslip.control.*;
 
 /*
- * The module: every decision of martenslip. A program makes one Logic for each exchange with the settings,
- * a seed and the moment, tells it what happens through martenslip.control.Controller and carries out what it
- * orders through martenslip.control.Orders. docs/design.md tells where this follows the design and where not.
- *
- * A call from outside becomes notes in inboxes; one loop empties them before the call returns. A Switch actor
- * for each switch owns the group toward it, the Front owns contacts, rings, clocks and final answers.
+ * The module: every decision of martenslip. A program makes one Logic for each exchange, tells it what
+ * happens through martenslip.control.Controller and carries out what it orders through martenslip.control.Orders. A
+ * call becomes notes in inboxes, which one loop empties before the call returns. See docs/design.md.
  */
 public final class Logic implements Controller {
     // Thresholds of urgent demand: the paper's but for the first, as 11.2% is never met at a few urgent
@@ -19,12 +16,13 @@
     static final double[][] SHARES = {{0.112, 0.400, 0.428, 0.060}, {0.256, 0.336, 0.359, 0.049},
         {0.400, 0.180, 0.375, 0.045}, {0.600, 0.137, 0.235, 0.028}, {0.800, 0.163, 0.037, 0.000}};
     // Binding levels, in square roots of the group's size: the spread of circuits held by chance arrivals.
-    // One contact over a tandem takes circuits of two groups, so there they bind earlier.
-    static final double NEAR_FULL = 0.15, NEAR_FULL_TANDEM = 0.5;
+    // They bind early for a contact over a tandem, which takes circuits of two groups, and for a late one.
+    static final double NEAR_FULL = 0.15, NEAR_FULL_EARLY = 0.5;
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
-    static final int MOST_OUT = 3;
+    // Rings out that one switch may count for; and how much readier a late contact is kept back.
+    static final int MOST_OUT = 3, LATE_BACK = 3;
     // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
     // the part after which it looks again where its own processor had no room.
     static final double WORTH_WAITING = 0.75, AGAIN = 0.25;
@@ -291,9 +289,13 @@
             rings.put(ask.contact.id(), new Held(ask.skill, ask.width(), now));
             held[ask.skill.id] += ask.width();
             free -= ask.width();
+            countSent();
+            front.put(new Granted(ask.contact.id(), this));
+        }
+
+        void countSent() {
             sent.add(1, now);
             warmRate += coldPart() < 1 ? 0 : (sent.mean(now) - warmRate) / 16;
-            front.put(new Granted(ask.contact.id(), this));
         }
 
         int stage() {
@@ -324,12 +326,12 @@
             if (free < ask.width() || reserved(ask)) {
                 return Reason.FULL;
             }
-            double roots = tandem || ask.late(now) ? NEAR_FULL_TANDEM : NEAR_FULL;
-            double level = Math.max(roots * Math.sqrt(size), urgentOne.width);
+            boolean early = tandem || ask.late(now);
+            double level = Math.max((early ? NEAR_FULL_EARLY : NEAR_FULL) * Math.sqrt(size), urgentOne.width);
             if (ask.urgent() || free - ask.width() >= level) {
                 return null;
             }
-            return !tandem && !ask.late(now) && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
+            return !early && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
         }
 
         /** Rings out and no word for longer than set-ups here take: it may be hung, cut off, jammed, slow. */
@@ -355,9 +357,7 @@
             double periods = now.since(budgetAt).over(sent.period);
             budget = Math.min(2, budget + usualSent * part * FULL_WORK * periods);
             budgetAt = now;
-            boolean may = budget >= (ask.urgent() ? 1 : 1.5);
-            budget -= may ? 1 : 0;
-            return may;
+            return budget >= (ask.urgent() ? 1 : 1.5) && budget-- > 0;
         }
 
         /** The part of the contacts of this skill to keep back from this processor. */
@@ -379,35 +379,34 @@
         }
 
         Reason processor(Ask ask) {
-            if (state != SwitchLine.State.READY) {
+            boolean trial = silent();
+            boolean down = trial && !now.since(lastTrial).longerThan(urgentOne.target);
+            if (down || state != SwitchLine.State.READY) {
                 return Reason.DOWN;
             }
-            if (silent()) {
-                boolean trial = now.since(lastTrial).longerThan(urgentOne.target);
-                lastTrial = trial ? now : lastTrial;
-                return trial ? null : Reason.DOWN;
-            }
-            double back = pressure(ask.skill, this == ask.destination ? 0 : ask.out);
-            back *= ask.late(now) ? 3 : 1;
+            lastTrial = trial ? now : lastTrial;
+            double back = trial ? 0 : pressure(ask.skill, this == ask.destination ? 0 : ask.out);
+            back *= ask.late(now) ? LATE_BACK : 1;
             return back >= 1 || ask.first && chance.nextDouble() < back ? Reason.PRESSED : null;
         }
 
         void asked(Ask ask) {
             Reason reason = processor(ask);
+            boolean transit = ask.contact.inTransit();
+            asks.add(ask.first ? 1 : 0, now);
             if (this != ask.destination) {
                 if (reason == null && spendCold(ask)) {
+                    countSent();
                     ask.destination.put(ask);
                 } else {
                     refuse(ask, Reason.PRESSED);
                 }
                 return;
             }
-            asks.add(ask.first ? 1 : 0, now);
+            // A blocked caller who asks again is one want.
             if (ask.first && ask.urgent() && now.before(ask.firstTry.plus(ask.skill.target))) {
-                // A blocked caller who asks again is one want.
                 urgent.add(ask.width(), now);
             }
-            boolean transit = ask.contact.inTransit();
             if (reason == null && (reason = admits(ask, transit)) == null
                     && (reason = spendCold(ask) ? null : Reason.COLD) == null) {
                 take(ask);
@@ -623,11 +622,8 @@
 
         void over(RingEnd end) {
             Open one = at(end.contact());
-            if (one == null || end.ring() != one.rings - 1) {
-                return;
-            }
-            if (end.answered()) {
-                open.remove(end.contact());
+            if (one == null || end.ring() != one.rings - 1 || end.answered()) {
+                open.remove(end.answered() ? end.contact() : null);
                 return;
             }
             if (one.at != one.destination && end.cause() != Cause.NOT_SENT) {
