--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -5,8 +5,8 @@
 
 /*
  * The module: every decision of martenslip. A program makes one Logic for each exchange, tells it what
- * happens through martenslip.control.Controller and carries out what it orders through martenslip.control.Orders. A
- * call becomes notes in inboxes, which one loop empties before the call returns. See docs/design.md.
+ * happens through martenslip.control.Controller and carries out what it orders through its Orders. A call
+ * becomes notes in inboxes, which one loop empties before the call returns. See docs/design.md.
  */
 public final class Logic implements Controller {
     // Thresholds of urgent demand: the paper's but for the first, as 11.2% is never met at a few urgent
@@ -21,8 +21,9 @@
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
-    // Rings out that one switch may count for; and how much readier a late contact is kept back.
-    static final int MOST_OUT = 3, LATE_BACK = 3;
+    // Rings out that one switch may count for; how much readier a late contact is kept back; the longest gap
+    // between trials of a silent switch, in urgent answer targets.
+    static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
     // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
     // the part after which it looks again where its own processor had no room.
     static final double WORTH_WAITING = 0.75, AGAIN = 0.25;
@@ -38,11 +39,11 @@
     record Offered(Contact contact) implements Note<Front> { public void to(Front a) { a.offered(contact); } }
     record Answered(long contact) implements Note<Front> { public void to(Front a) { a.answered(contact); } }
     record Over(RingEnd end) implements Note<Front> { public void to(Front a) { a.over(end); } }
-    record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.letGo(a.at(id)); } }
+    record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.letGo(a.open.get(id)); } }
     record Rung(long contact) implements Note<Front> { public void to(Front a) { a.rung(contact); } }
     record Tick(Switch asker) implements Note<Front> { public void to(Front a) { a.tick(asker); } }
     record Denied(long id, boolean own) implements Note<Front> {
-        public void to(Front a) { a.denied(a.at(id), own); }
+        public void to(Front a) { a.denied(a.open.get(id), own); }
     }
 
     record Granted(long contact, Switch target) implements Note<Front> {
@@ -211,8 +212,8 @@
         final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now),
                 asks = new Tally(urgentOne.target, now);
         double warmRate, budget, cutBy, usual;
-        Moment budgetAt = now, lastSign = now, lastTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
-        Span wait = Span.ZERO;
+        Moment budgetAt = now, lastSign = now, nextTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
+        Span wait = Span.ZERO, trialGap = urgentOne.target;
 
         Switch(long id) {
             this.id = id;
@@ -283,6 +284,7 @@
         void sign() {
             lastSign = now;
             mute = false;
+            trialGap = urgentOne.target;
         }
 
         void take(Ask ask) {
@@ -380,11 +382,15 @@
 
         Reason processor(Ask ask) {
             boolean trial = silent();
-            boolean down = trial && !now.since(lastTrial).longerThan(urgentOne.target);
+            boolean down = trial && now.before(nextTrial);
             if (down || state != SwitchLine.State.READY) {
                 return Reason.DOWN;
             }
-            lastTrial = trial ? now : lastTrial;
+            if (trial) {
+                // At doubling gaps: the trials of all exchanges must not keep a slow processor jammed.
+                trialGap = trialGap.plus(trialGap).most(urgentOne.target.times(TRIAL_GAP));
+                nextTrial = now.plus(trialGap);
+            }
             double back = trial ? 0 : pressure(ask.skill, this == ask.destination ? 0 : ask.out);
             back *= ask.late(now) ? LATE_BACK : 1;
             return back >= 1 || ask.first && chance.nextDouble() < back ? Reason.PRESSED : null;
@@ -533,10 +539,6 @@
         final Map<Long, Moment> firstTries = new LinkedHashMap<>();
         Moment probedAt = NEVER;
 
-        Open at(long contact) {
-            return open.get(contact);
-        }
-
         void answered(long contact) {
             Open one = open.remove(contact);
             if (one != null && one.at != one.destination) {
@@ -609,7 +611,7 @@
         }
 
         void granted(long contact, Switch target) {
-            Open one = at(contact);
+            Open one = open.get(contact);
             if (one == null || one.doing != Doing.SEEKING || !now.before(one.end)) {
                 target.put(new Return(contact));
                 return;
@@ -621,7 +623,7 @@
         }
 
         void over(RingEnd end) {
-            Open one = at(end.contact());
+            Open one = open.get(end.contact());
             if (one == null || end.ring() != one.rings - 1 || end.answered()) {
                 open.remove(end.answered() ? end.contact() : null);
                 return;
@@ -629,11 +631,7 @@
             if (one.at != one.destination && end.cause() != Cause.NOT_SENT) {
                 one.destination.put(new Judge(one.at, false));
             }
-            if (one.contact.inTransit()) {
-                defer(one);
-                return;
-            }
-            switch (end.cause()) {
+            switch (one.contact.inTransit() ? Cause.BUSY : end.cause()) {
                 case TIMED_OUT, CUT, CALLED_OFF -> {
                     Moment again = now.plus(release).plus(round);
                     if (again.before(one.worthUntil)) {
@@ -663,7 +661,7 @@
         }
 
         void rung(long contact) {
-            Open one = at(contact);
+            Open one = open.get(contact);
             if (one == null) {
                 return;
             } else if (!now.before(one.end)) {
