Pools by skill, and a failed list subscription is renewed

Cause, from extremes outside the repository (pools in place of a mesh; no reports, an asked list, contacts 8 wide, missing groups, load to 2.5): contacts were sent to pools that lack the skill, and drains went unheard where the list must be asked for.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -91,7 +91,11 @@
     }
 
     /** A skill as the settings describe it; rank 0 is the urgent one, the row its place in the paper. */
-    record Skill(int id, int rank, int row, int width, Span target, Span hold, Span patience) { }
+    record Skill(int id, int rank, int row, int width, Span target, Span hold, Span patience,
+                 List<String> pools) {
+        /** With pools in place of a mesh a skill has only some of them. */
+        boolean goes(int number) { return pools.contains("") || pools.contains("" + number); }
+    }
 
     /** A histogram of spans over doubling bins below a scale, halved as each period has passed. */
     static final class Spans {
@@ -364,9 +368,6 @@
 
         /** The part of the contacts of this skill to keep back from this processor. */
         double pressure(Skill skill, int out) {
-            if (now.before(fullUntil)) {
-                return 1;
-            }
             Span age = toldAt == NEVER ? patienceMost : now.since(toldAt);
             // An old report must not shut a switch for good: with nothing sent there, no better one comes.
             double fresh = Math.pow(0.5, age.over(urgentOne.target));
@@ -376,7 +377,7 @@
             double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now))
                     * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
-            return skill.rank == 0 ? ramp(slow, 1, 2)
+            return now.before(fullUntil) ? 1 : skill.rank == 0 ? ramp(slow, 1, 2)
                     : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
         }
 
@@ -487,7 +488,7 @@
         }
 
         void through(Ask ask, List<Switch> others) {
-            if (coldPart() >= 1 && state == SwitchLine.State.READY && !silent()
+            if (coldPart() >= 1 && state == SwitchLine.State.READY && ask.skill.goes(number) && !silent()
                     && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
                 take(ask);
             } else if (others.isEmpty()) {
@@ -644,10 +645,8 @@
                     boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
                     if (!now.before(one.worthUntil) || pressed && one.skill.rank > 0) {
                         defer(one);
-                    } else if (pressed) {
-                        seekAt(one, now.plus(urgentOne.target.times(0.15)));
                     } else {
-                        seek(one);
+                        seekAt(one, pressed ? now.plus(urgentOne.target.times(AGAIN)) : now);
                     }
                 }
                 default -> defer(one);
@@ -662,9 +661,7 @@
 
         void rung(long contact) {
             Open one = open.get(contact);
-            if (one == null) {
-                return;
-            } else if (!now.before(one.end)) {
+            if (one == null || !now.before(one.end)) {
                 abandon(one);
             } else if (one.doing == Doing.RELEASING && !now.before(one.seekAt)) {
                 seek(one);
@@ -733,6 +730,7 @@
         homeNumber = (int) number("family-info.home-no", -1);
         fields = Arrays.asList(settings.getOrDefault("report.fields", "").split(","));
         skills = skills();
+        listed(now, ListKind.FAILED, List.of());
     }
 
     private double number(String name, double otherwise) {
@@ -762,7 +760,8 @@
             int width = (int) item(settings.get("family-info.widths"), skill, 1);
             Span hold = new Span((long) item(settings.get("family-info.mean-hold-ns"), skill, 1e10));
             all[skill] = new Skill(skill, rank, row, width, new Span((long) number(at + "aim-ns", 1e9)), hold,
-                    new Span((long) number(at + "hard-limit-ns", 9e9)));
+                    new Span((long) number(at + "hard-limit-ns", 9e9)),
+                    List.of(settings.getOrDefault("family-info.class-cells." + skill, "").split(",")));
             patienceMost = patienceMost.least(all[skill].patience);
         }
         urgentOne = all[byValue[0]];
@@ -798,6 +797,10 @@
     }
 
     @Override public void listed(Moment at, ListKind kind, List<SwitchLine> lines) {
+        // Where the list must be asked for, a failed subscription is renewed, or drains would go unheard.
+        if (kind == ListKind.FAILED && "subscribe".equals(settings.get("discovery"))) {
+            orders.watchList(true);
+        }
         lines.forEach(line -> tell(at, at(line.id()), new Told(line)));
         boolean all = kind == ListKind.WHOLE || kind == ListKind.REMEMBERED;
         List<Long> named = lines.stream().map(SwitchLine::id).toList();
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -266,6 +266,23 @@
         assertTrue(group.weight(tandem) > 0.95);
     }
 
+    @Test
+    public void aSkillGoesOnlyToItsPools() {
+        Exchange exchange = new Exchange();
+        exchange.settings.put("family-info.class-cells.1", "1,3");
+        exchange.ready(20, 40).group(1, 0, 40);
+        exchange.logic.offered(at(1), contact(1, URGENT, 3));
+        assertEquals(exchange.orders(), List.of("ring 1 103"));
+    }
+
+    @Test
+    public void aFailedSubscriptionIsRenewed() {
+        Exchange exchange = new Exchange();
+        exchange.settings.put("discovery", "subscribe");
+        exchange.ready(20, 40).logic.listed(at(1), ListKind.FAILED, List.of());
+        assertEquals(exchange.orders(), List.of("watch true", "watch true"));
+    }
+
     @Test
     public void theSameEventsGiveTheSameOrders() {
         List<List<String>> twice = new java.util.ArrayList<>();
