--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -378,7 +378,7 @@
                     * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
             return now.before(fullUntil) ? 1 : skill.rank == 0 ? ramp(slow, 1, 2)
-                    : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.35, 0.85)));
+                    : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.2, 0.7)));
         }
 
         Reason processor(Ask ask) {
