Contacts wait for a circuit up to half their answer target

Found while moving values by a third: waiting 0.75 targets keeps full groups and processors busy with contacts that then stand late.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -26,7 +26,7 @@
     static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
     // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
     // the part after which it looks again where its own processor had no room.
-    static final double WORTH_WAITING = 0.75, AGAIN = 0.25;
+    static final double WORTH_WAITING = 0.5, AGAIN = 0.25;
     static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
 
     enum Reason { SHARE, FULL, PRESSED, COLD, DOWN }
