--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -131,8 +131,7 @@
         /** The upper edge of the bin that holds this part of what was seen; zero where too little was. */
         Span quantile(double part, Moment now) {
             age(now);
-            double total = Arrays.stream(bins).sum();
-            double left = total * part;
+            double total = Arrays.stream(bins).sum(), left = total * part;
             for (int i = 0; total >= 1 && i < BINS; i++) {
                 left -= bins[i];
                 if (left <= 0) {
@@ -519,19 +518,20 @@
     static final class Open {
         final Contact contact;
         final Skill skill;
-        final Moment end, worthUntil, firstTry;
+        final Moment end, worthUntil, paysUntil, firstTry;
         Doing doing = Doing.SEEKING;
         int rings;
         boolean asked;
         Switch at, destination;
         Moment seekAt;
 
-        Open(Contact contact, Skill skill, Moment end, Moment worthUntil, Moment firstTry) {
+        Open(Contact contact, Skill skill, Moment end, Moment from, Moment firstTry) {
             this.firstTry = firstTry;
             this.contact = contact;
             this.skill = skill;
             this.end = end;
-            this.worthUntil = worthUntil.before(end) ? worthUntil : end;
+            worthUntil = first(end, from.plus(skill.target.times(WORTH_WAITING)));
+            paysUntil = first(end, from.plus(skill.target));
         }
     }
 
@@ -574,8 +574,7 @@
             firstTries.values().removeIf(first -> now.since(first).longerThan(patienceMost));
             Moment first = contact.dialled() == 0 || contact.inTransit() ? now
                     : firstTries.computeIfAbsent(contact.dialled(), any -> now);
-            Moment worth = (skill.rank == 0 ? now : first).plus(skill.target.times(WORTH_WAITING));
-            Open one = new Open(contact, skill, end, worth, first);
+            Open one = new Open(contact, skill, end, skill.rank == 0 ? now : first, first);
             open.put(contact.id(), one);
             if (!now.before(end)) {
                 defer(one);
@@ -635,7 +634,7 @@
             switch (one.contact.inTransit() ? Cause.BUSY : end.cause()) {
                 case TIMED_OUT, CUT, CALLED_OFF -> {
                     Moment again = now.plus(release).plus(round);
-                    if (again.before(one.worthUntil)) {
+                    if (again.before(one.paysUntil)) {
                         seekAt(one, again);
                     } else {
                         abandon(one);
@@ -643,7 +642,7 @@
                 }
                 case TURNED_BACK, NOT_SENT, UNREACHABLE -> {
                     boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
-                    if (!now.before(one.worthUntil) || pressed && one.skill.rank > 0) {
+                    if (!now.before(one.paysUntil) || pressed && one.skill.rank > 0) {
                         defer(one);
                     } else {
                         seekAt(one, pressed ? now.plus(urgentOne.target.times(AGAIN)) : now);
@@ -778,6 +777,8 @@
         return SHARES[stage][skills[skill].row] + (skill == cheapest ? Math.max(0, left) : 0);
     }
 
+    static Moment first(Moment a, Moment b) { return a.before(b) ? a : b; }
+
     static double ramp(double value, double from, double to) {
         return Math.max(0, Math.min(1, (value - from) / (to - from)));
     }
