--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -382,8 +382,7 @@
 
         Reason processor(Ask ask) {
             boolean trial = silent();
-            boolean down = trial && now.before(nextTrial);
-            if (down || state != SwitchLine.State.READY) {
+            if (state != SwitchLine.State.READY || trial && now.before(nextTrial)) {
                 return Reason.DOWN;
             }
             if (trial) {
@@ -542,10 +541,13 @@
 
         void answered(long contact) {
             Open one = open.remove(contact);
-            if (one != null && one.at != one.destination) {
+            if (one == null) {
+                return;
+            }
+            firstTries.remove(one.contact.dialled());
+            if (one.at != one.destination) {
                 one.destination.put(new Judge(one.at, true));
             }
-            firstTries.remove(one == null ? 0 : one.contact.dialled());
         }
 
         /** Where the own processor has no room, a few more looks within the time that pays spare redials. */
@@ -597,8 +599,7 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil, out(),
-                    one.firstTry));
+                    one.destination, !one.asked, one.worthUntil, out(), one.firstTry));
             one.asked = true;
         }
 
@@ -623,9 +624,8 @@
         }
 
         void over(RingEnd end) {
-            Open one = open.get(end.contact());
-            if (one == null || end.ring() != one.rings - 1 || end.answered()) {
-                open.remove(end.answered() ? end.contact() : null);
+            Open one = end.answered() ? open.remove(end.contact()) : open.get(end.contact());
+            if (one == null || end.answered() || end.ring() != one.rings - 1) {
                 return;
             }
             if (one.at != one.destination && end.cause() != Cause.NOT_SENT) {
