Pairs without a group draw tandems ungated, each once; candidates need an own leg

Cause: a group of size 0 was treated as a full one: a cheap contact drew one of the whole fleet, half of it without an own leg, and after a turn-back none.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -52,7 +52,7 @@
 
     /** A contact looks for its next ring: first at the own exchange's switch, then at its destination's. */
     record Ask(Contact contact, Skill skill, Switch destination, boolean first, Moment waitUntil,
-               int out, Moment firstTry) implements Note<Switch> {
+               int out, Moment firstTry, Set<Long> tried) implements Note<Switch> {
         public void to(Switch a) { a.asked(this); }
 
         int width() { return Math.max(1, contact.width()); }
@@ -62,7 +62,7 @@
         /** Its answer target began with the first try: a cheap contact past it pays little and goes last. */
         boolean late(Moment now) { return !urgent() && !now.before(firstTry.plus(skill.target)); }
 
-        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, out, firstTry); }
+        Ask again() { return new Ask(contact, skill, destination, false, waitUntil, out, firstTry, tried); }
     }
 
     record Through(Ask ask, List<Switch> others) implements Note<Switch> {
@@ -246,6 +246,11 @@
             if (report.length >= 2) {
                 free = Math.round(report[0]);
                 size = Math.round(report[1]);
+                if (size > 0) {
+                    legs.put(id, this);
+                } else {
+                    legs.remove(id);
+                }
             }
             for (int i = 2; i < report.length && i < fields.size(); i++) {
                 double value = report[i];
@@ -464,25 +469,24 @@
             weights.put(tandem.id, new Weight(Math.max(WEIGHT_LEAST, weight), now));
         }
 
-        /** Tandems in an order drawn by weight; a cheap contact draws once, and often gets none. */
+        /**
+         * Tandems in an order drawn by weight, each once for a contact. With a group to the destination a cheap
+         * contact draws once, and often gets none; without one a tandem is the planned route.
+         */
         List<Switch> draw(Ask ask) {
-            List<Switch> left = new ArrayList<>(switches.values());
-            left.removeIf(other -> other == this || other == home());
-            List<Switch> drawn = new ArrayList<>();
-            while (!left.isEmpty() && (ask.urgent() || ask.first && !ask.late(now))) {
-                double at = chance.nextDouble() * left.stream().mapToDouble(this::weight).sum();
-                int picked = 0;
-                while (picked < left.size() - 1 && (at -= weight(left.get(picked))) > 0) {
-                    picked++;
-                }
-                Switch tandem = left.remove(picked);
-                double go = Math.max(WEIGHT_LEAST, ramp(weight(tandem), 0.35, 0.65));
-                if (drawn.isEmpty() && !ask.urgent() && chance.nextDouble() > go) {
-                    return drawn;
+            if (size > 0 && !ask.urgent() && (!ask.first || ask.late(now))) {
+                return List.of();
+            }
+            Map<Double, Switch> order = new TreeMap<>();
+            for (Switch leg : legs.values()) {
+                if (leg != this && !ask.tried.contains(leg.id)) {
+                    order.put(-Math.log(chance.nextDouble()) / weight(leg), leg);
                 }
-                drawn.add(tandem);
             }
-            return drawn;
+            List<Switch> drawn = new ArrayList<>(order.values());
+            boolean gate = size > 0 && !ask.urgent() && !drawn.isEmpty();
+            return gate && chance.nextDouble() > Math.max(WEIGHT_LEAST, ramp(weight(drawn.get(0)), 0.35, 0.65))
+                    ? List.of() : drawn;
         }
 
         void through(Ask ask, List<Switch> others) {
@@ -518,6 +522,7 @@
         final Contact contact;
         final Skill skill;
         final Moment end, worthUntil, paysUntil, firstTry;
+        final Set<Long> tried = new HashSet<>();
         Doing doing = Doing.SEEKING;
         int rings;
         boolean asked;
@@ -599,7 +604,7 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil, out(), one.firstTry));
+                    one.destination, !one.asked, one.worthUntil, out(), one.firstTry, one.tried));
             one.asked = true;
         }
 
@@ -619,6 +624,7 @@
             }
             one.doing = Doing.RINGING;
             one.at = target;
+            one.tried.add(target.id);
             one.rings++;
             orders.ring(contact, target.id, one.end.since(now));
         }
@@ -700,7 +706,7 @@
     private final SplittableRandom chance;
     private Moment now;
     private final ArrayDeque<Actor<?>> busy = new ArrayDeque<>();
-    private final Map<Long, Switch> switches = new TreeMap<>();
+    private final Map<Long, Switch> switches = new TreeMap<>(), legs = new TreeMap<>();
     final Skill[] skills;
     private Skill urgentOne;
     private int cheapest;
--- a/src/test/java/martenslip/Exchange.java
+++ b/src/test/java/martenslip/Exchange.java
@@ -62,7 +62,8 @@
     }
 
     Logic.Ask ask(Contact contact) {
-        return new Logic.Ask(contact, logic.skills[contact.skill()], logic.at(101), true, at(9), 0, at(0));
+        return new Logic.Ask(contact, logic.skills[contact.skill()], logic.at(101), true, at(9), 0, at(0),
+                java.util.Set.of());
     }
 
     /** What was ordered but for clocks, which is cleared. */
