--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -197,7 +197,8 @@
     /** A ring's circuits on the group; since is null once the contact stands. */
     private record Held(Skill skill, int width, Moment since) { }
 
-    private record Weight(double then, Moment at) { }
+    /** It drifts back to where it rests: 1 once a contact stood that way; lower after turn-backs only. */
+    private record Weight(double then, double rest, Moment at) { }
 
     final class Switch extends Actor<Switch> {
         final long id;
@@ -460,13 +461,17 @@
             if (weight == null) {
                 return WEIGHT_NEW;
             }
-            return 1 - (1 - weight.then) * Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
+            double drift = Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
+            return weight.rest - (weight.rest - weight.then) * drift;
         }
 
+        /** A tandem over which nothing ever stood may have no group to here, which time does not mend. */
         void judge(Switch tandem, boolean well) {
-            double weight = weight(tandem);
+            double weight = weight(tandem), rest = weights.containsKey(tandem.id) ? weights.get(tandem.id).rest
+                    : WEIGHT_NEW;
             weight = well ? weight + WEIGHT_UP * (1 - weight) : weight * WEIGHT_DOWN;
-            weights.put(tandem.id, new Weight(Math.max(WEIGHT_LEAST, weight), now));
+            rest = well ? 1 : rest < 1 ? rest * WEIGHT_DOWN : 1;
+            weights.put(tandem.id, new Weight(Math.max(WEIGHT_LEAST, weight), Math.max(WEIGHT_LEAST, rest), now));
         }
 
         /**
