--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -485,7 +485,9 @@
             Map<Double, Switch> order = new TreeMap<>();
             for (Switch leg : legs.values()) {
                 if (leg != this && !ask.tried.contains(leg.id)) {
-                    order.put(-Math.log(chance.nextDouble()) / weight(leg), leg);
+                    double last = -Math.log(chance.nextDouble()) / weight(leg);
+                    boolean advised = leg.number == ask.contact.hint() && chance.nextDouble() < weight(leg);
+                    order.put(advised ? -1 : last, leg);
                 }
             }
             List<Switch> drawn = new ArrayList<>(order.values());
