--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -493,7 +493,7 @@
             List<Switch> drawn = new ArrayList<>(order.values());
             boolean gate = size > 0 && !ask.urgent() && !drawn.isEmpty();
             return gate && chance.nextDouble() > Math.max(WEIGHT_LEAST, ramp(weight(drawn.get(0)), 0.35, 0.65))
-                    ? List.of() : drawn;
+                    ? List.of() : gate ? drawn.subList(0, 1) : drawn;
         }
 
         void through(Ask ask, List<Switch> others) {
