Peers are told once which groups an exchange has; note length read as two bytes

The adapter read a note's length as four bytes; no note was ever sent before, so none was lost. A short note is ignored. Guards also against a controller back with nothing: its peers answer. With notes lost, weights learn as before.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -1,5 +1,6 @@
 package martenslip;
 
+import java.nio.ByteBuffer;
 import java.util.*;
 import martenslip.control.*;
 
@@ -86,6 +87,11 @@
     record Serve() implements Note<Switch> { public void to(Switch a) { a.tickRung(); } }
     record Told(SwitchLine line) implements Note<Switch> { public void to(Switch a) { a.listed(line); } }
     record Reported(float[] says) implements Note<Switch> { public void to(Switch a) { a.reported(says); } }
+    record Linked(int tandem, boolean leads) implements Note<Switch> {
+        public void to(Switch a) { a.linked(tandem, leads); }
+    }
+
+    record PeerSays(int peer, byte[] note) implements Note<Front> { public void to(Front a) { a.heard(this); } }
     record Judge(Switch tandem, boolean well) implements Note<Switch> {
         public void to(Switch a) { a.judge(tandem, well); }
     }
@@ -209,7 +215,7 @@
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
         final Tally urgent = new Tally(urgentOne.hold, now);
-        final Map<Long, Weight> weights = new TreeMap<>();
+        final Map<Integer, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking, mute;
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
@@ -457,7 +463,7 @@
         }
 
         double weight(Switch tandem) {
-            Weight weight = weights.get(tandem.id);
+            Weight weight = weights.get(tandem.number);
             if (weight == null) {
                 return WEIGHT_NEW;
             }
@@ -467,11 +473,17 @@
 
         /** A tandem over which nothing ever stood may have no group to here, which time does not mend. */
         void judge(Switch tandem, boolean well) {
-            double weight = weight(tandem), rest = weights.containsKey(tandem.id) ? weights.get(tandem.id).rest
-                    : WEIGHT_NEW;
+            double weight = weight(tandem), rest = weights.containsKey(tandem.number)
+                    ? weights.get(tandem.number).rest : WEIGHT_NEW;
             weight = well ? weight + WEIGHT_UP * (1 - weight) : weight * WEIGHT_DOWN;
             rest = well ? 1 : rest < 1 ? rest * WEIGHT_DOWN : 1;
-            weights.put(tandem.id, new Weight(Math.max(WEIGHT_LEAST, weight), Math.max(WEIGHT_LEAST, rest), now));
+            weights.put(tandem.number, new Weight(Math.max(WEIGHT_LEAST, weight), Math.max(WEIGHT_LEAST, rest),
+                    now));
+        }
+
+        /** What a tandem itself says of its group to here stands over what was learned of it. */
+        void linked(int tandem, boolean leads) {
+            weights.put(tandem, new Weight(leads ? WEIGHT_NEW : 0, leads ? 1 : 0, now));
         }
 
         /**
@@ -484,7 +496,7 @@
             }
             Map<Double, Switch> order = new TreeMap<>();
             for (Switch leg : legs.values()) {
-                if (leg != this && !ask.tried.contains(leg.id)) {
+                if (leg != this && weight(leg) > 0 && !ask.tried.contains(leg.id)) {
                     double last = -Math.log(chance.nextDouble()) / weight(leg);
                     boolean advised = leg.number == ask.contact.hint() && chance.nextDouble() < weight(leg);
                     order.put(advised ? -1 : last, leg);
@@ -549,7 +561,8 @@
     final class Front extends Actor<Front> {
         final Map<Long, Open> open = new LinkedHashMap<>();
         final Map<Long, Moment> firstTries = new LinkedHashMap<>();
-        Moment probedAt = NEVER;
+        final Set<Integer> heardOf = new HashSet<>();
+        Moment probedAt = NEVER, startedAt = now;
 
         void answered(long contact) {
             Open one = open.remove(contact);
@@ -577,6 +590,28 @@
             orders.clock(urgentOne.target.times(0.04).least(round), asker.id * 2 + 1);
         }
 
+        /** The numbers that this exchange has groups to, for peers that look for a tandem. */
+        void tellGroups(int peer, boolean first) {
+            BitSet groups = new BitSet();
+            groups.set(0, first);
+            legs.values().forEach(leg -> groups.set(1 + leg.number));
+            byte[] bits = groups.toByteArray();
+            orders.note(peer, ByteBuffer.allocate(2 + bits.length).putShort((short) homeNumber).put(bits).array());
+        }
+
+        /** A peer that says it for the first time, again, has started anew and knows nothing of this one. */
+        void heard(PeerSays says) {
+            if (says.note.length < 2) {
+                return;
+            }
+            BitSet groups = BitSet.valueOf(Arrays.copyOfRange(says.note, 2, says.note.length));
+            int tandem = ByteBuffer.wrap(says.note).getShort();
+            switches.values().forEach(to -> to.put(new Linked(tandem, groups.get(1 + to.number))));
+            if (!heardOf.add(says.peer) && groups.get(0)) {
+                tellGroups(says.peer, false);
+            }
+        }
+
         void clock(Open one, Moment at) {
             orders.clock(at.since(now).least(round), one.contact.id() * 2);
         }
@@ -594,6 +629,11 @@
                 defer(one);
                 return;
             }
+            if (mayTell && startedAt != null && now.since(startedAt).longerThan(urgentOne.target)) {
+                // Not at once: peers that start together with this one would not hear it.
+                startedAt = null;
+                tellGroups(Orders.ALL_PEERS, true);
+            }
             clock(one, end);
             clock(one, one.worthUntil);
             if (home() != null && mayProbe && now.since(probedAt).longerThan(urgentOne.target.times(0.4))) {
@@ -722,8 +762,8 @@
     private final Span round, release, comeBack, warmWithin;
     private final double coldShare;
     private final int mostRings, homeNumber;
-    private final boolean mayCallOff, mayProbe;
-    final Front front = new Front();
+    private final boolean mayCallOff, mayProbe, mayTell;
+    final Front front;
 
     public Logic(Map<String, String> settings, long seed, Moment now, Orders orders) {
         this.settings = settings;
@@ -739,9 +779,11 @@
         mostRings = (int) number("policy-limits.send-cap", 1);
         mayCallOff = may("cancel");
         mayProbe = may("probes");
+        mayTell = may("peers");
         homeNumber = (int) number("family-info.home-no", -1);
         fields = Arrays.asList(settings.getOrDefault("report.fields", "").split(","));
         skills = skills();
+        front = new Front();
         listed(now, ListKind.FAILED, List.of());
     }
 
@@ -867,7 +909,9 @@
         tell(at, at(target), new Reported(report));
     }
 
-    @Override public void peerNote(Moment at, int peer, byte[] note) { now = at; }
+    @Override public void peerNote(Moment at, int peer, byte[] note) {
+        tell(at, front, new PeerSays(peer, note));
+    }
 
     @Override public void stopped(Moment at) { now = at; }
 }
--- a/src/main/java/martenslip/drill/Drill.java
+++ b/src/main/java/martenslip/drill/Drill.java
@@ -146,7 +146,7 @@
             }
             case 1080 -> {
                 int peer = records.getInt();
-                byte[] note = bytes(records.getInt(), start);
+                byte[] note = bytes(Short.toUnsignedInt(records.getShort()), start);
                 tell(id, c -> c.peerNote(now, peer, note));
             }
             case 1090 -> {
--- a/src/test/java/martenslip/DrillTest.java
+++ b/src/test/java/martenslip/DrillTest.java
@@ -57,6 +57,12 @@
         assertTrue(text.contains("03f200000003000517755d3a91c4"), text);
     }
 
+    @Test
+    public void aPeerNoteHasALengthOfTwoBytes() throws Exception {
+        byte[] note = hex("0438 00000003 00000002 0003 000201");
+        assertEquals(answer(batch(started("classes.count=1\n"), note)), hex("00000001 00000000 00000000"));
+    }
+
     @Test
     public void aDirectRingIsWrittenAsTheWireSays() throws Exception {
         byte[] lines = hex("044c 0000 00000001 3f800000 00 02 0a9011f2 2bec 0000 0000000000000000 0039");
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -257,6 +257,8 @@
         Exchange exchange = new Exchange().ready(20, 40);
         Logic.Switch group = exchange.logic.at(101);
         Logic.Switch tandem = exchange.logic.at(102);
+        group.judge(tandem, true);
+        group.judge(tandem, false);
         group.judge(tandem, false);
         double low = group.weight(tandem);
         assertTrue(low < Logic.WEIGHT_NEW);
@@ -283,6 +285,46 @@
         assertEquals(exchange.orders(), List.of("watch true", "watch true"));
     }
 
+    @Test
+    public void aPairWithoutAGroupTriesEachTandemOnce() {
+        Exchange exchange = new Exchange().ready(20, 40).group(1, 0, 0);
+        exchange.logic.offered(at(1), contact(1, CHEAP, 3));
+        exchange.logic.ringEnded(at(1.1), end(1, 0, Cause.TURNED_BACK, Blame.TANDEM));
+        exchange.logic.clockRung(at(1.11), 2);
+        List<String> orders = exchange.orders();
+        assertTrue(orders.containsAll(List.of("ring 1 102", "ring 1 103")), orders.toString());
+    }
+
+    @Test
+    public void aTandemThatNeverLedOnStaysLow() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        group.judge(exchange.logic.at(102), false);
+        exchange.logic.stopped(at(500));
+        assertTrue(group.weight(exchange.logic.at(102)) < Logic.WEIGHT_NEW);
+    }
+
+    @Test
+    public void theAdvisedTandemComesFirst() {
+        Exchange exchange = new Exchange().ready(20, 40).group(1, 0, 0);
+        exchange.logic.at(101).linked(3, true);
+        exchange.logic.stopped(at(500));
+        Contact advised = new Contact(1, CHEAP, 0, 1, 3, 1, Span.ofMillis(3000), false, false, false);
+        assertEquals(exchange.logic.at(101).draw(exchange.ask(advised)).get(0).number, 3);
+    }
+
+    @Test
+    public void aPeersGroupsAreBelievedAndItsNewStartIsAnswered() {
+        Exchange exchange = new Exchange().ready(20, 40).group(1, 0, 0);
+        byte[] leadsTo0And3 = {0, 2, 1 | 1 << 1 | 1 << 4};
+        exchange.logic.peerNote(at(1), 2, leadsTo0And3);
+        assertEquals(exchange.logic.at(101).draw(exchange.ask(contact(1, CHEAP, 3))).size(), 1);
+        assertEquals(exchange.orders(), List.of());
+        exchange.logic.peerNote(at(2), 2, leadsTo0And3);
+        assertEquals(exchange.orders(), List.of("note 2"));
+        exchange.logic.peerNote(at(3), 2, new byte[0]);
+    }
+
     @Test
     public void theSameEventsGiveTheSameOrders() {
         List<List<String>> twice = new java.util.ArrayList<>();
