Trials of a silent switch and old reports paced by the number of exchanges

Guards also against hangs and cuts; harms where a silent switch recovers and only trials could tell.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -25,6 +25,7 @@
     // Rings out that one switch may count for; how much readier a late contact is kept back; the longest gap
     // between trials of a silent switch, in urgent answer targets.
     static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
+    static final double FEW = 6;
     // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
     // the part after which it looks again where its own processor had no room.
     static final double WORTH_WAITING = 0.5, AGAIN = 0.25;
@@ -299,7 +300,7 @@
         void sign() {
             lastSign = now;
             mute = false;
-            trialGap = urgentOne.target;
+            trialGap = turn();
         }
 
         void take(Ask ask) {
@@ -381,7 +382,7 @@
         double pressure(Skill skill, int out) {
             Span age = toldAt == NEVER ? patienceMost : now.since(toldAt);
             // An old report must not shut a switch for good: with nothing sent there, no better one comes.
-            double fresh = Math.pow(0.5, age.over(urgentOne.target));
+            double fresh = Math.pow(0.5, age.over(turn()));
             Span rings = this == home() ? setUps.quantile(0.25, now)
                     : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
             // Rings out over answers in a time is the wait to come, known before the first slow answer.
@@ -399,7 +400,7 @@
             }
             if (trial) {
                 // At doubling gaps: the trials of all exchanges must not keep a slow processor jammed.
-                trialGap = trialGap.plus(trialGap).most(urgentOne.target.times(TRIAL_GAP));
+                trialGap = trialGap.plus(trialGap).most(turn().times(TRIAL_GAP));
                 nextTrial = now.plus(trialGap);
             }
             double back = trial ? 0 : pressure(ask.skill, this == ask.destination ? 0 : ask.out);
@@ -832,6 +833,11 @@
         return SHARES[stage][skills[skill].row] + (skill == cheapest ? Math.max(0, left) : 0);
     }
 
+    /** How long one sender leaves a doubtful switch alone, so that the trials of all are not a load on it. */
+    Span turn() {
+        return urgentOne.target.times(Math.max(1, switches.size() / FEW));
+    }
+
     static Moment first(Moment a, Moment b) { return a.before(b) ? a : b; }
 
     static double ramp(double value, double from, double to) {
