--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -222,7 +222,7 @@
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
         final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now),
                 asks = new Tally(urgentOne.target, now);
-        double warmRate, budget, cutBy, usual;
+        double warmRate, budget, cutBy, usual, depth;
         Moment budgetAt = now, lastSign = now, nextTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
         Span wait = Span.ZERO, trialGap = urgentOne.target;
 
@@ -265,10 +265,12 @@
                 toldAt = value < 0 ? toldAt : now;
                 switch (value < 0 ? "" : fields.get(i)) {
                     case "cut_by" -> cutBy = value;
+                    case "depth" -> depth = value;
                     case "mean_ms" -> wait = Span.ofMillis(value);
                     case "allowed" -> {
                         usual += (value - usual) * (value > usual ? 0.2 : 0.002);
                         cutBy = Math.max(0, 1 - value / usual / FULL_WORK);
+                        wait = Span.ofMillis(1000 * depth / Math.max(value, usual / 100));
                     }
                     default -> { }
                 }
@@ -389,8 +391,10 @@
             double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now))
                     * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
-            return now.before(fullUntil) ? 1 : skill.rank == 0 ? ramp(slow, 1, 2)
-                    : Math.min(0.95, Math.max(cutBy * fresh, ramp(slow, 0.2, 0.7)));
+            // A processor that takes next to nothing is jammed: what is sent there, however dear, only feeds it.
+            return now.before(fullUntil) ? 1
+                    : skill.rank == 0 ? Math.max(ramp(cutBy * fresh, 0.85, 0.95), ramp(slow, 1, 2))
+                    : Math.max(cutBy * fresh, ramp(slow, 0.2, 0.7));
         }
 
         Reason processor(Ask ask) {
