A jammed processor gets nothing, urgent ones neither; its wait is read from depth and allowed

Cause: answers wait behind set-ups, so a jammed exchange answers none at all while anything is sent there. Tried and left: 0.25 and 0.15 set-ups a message, a few let through always, a ramp to a whole target. Guards also against surges and redials at one exchange; harms where a report stays frozen at a jam for a while.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -22,6 +22,8 @@
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
+    // The work of a message that waits at a processor, in set-ups: most are looks, answers and repeats.
+    static final double MESSAGE = 0.4;
     // Rings out that one switch may count for; how much readier a late contact is kept back; the longest gap
     // between trials of a silent switch, in urgent answer targets.
     static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
@@ -270,7 +272,7 @@
                     case "allowed" -> {
                         usual += (value - usual) * (value > usual ? 0.2 : 0.002);
                         cutBy = Math.max(0, 1 - value / usual / FULL_WORK);
-                        wait = Span.ofMillis(1000 * depth / Math.max(value, usual / 100));
+                        wait = Span.ofMillis(1000 * MESSAGE * depth / Math.max(value, usual / 100));
                     }
                     default -> { }
                 }
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -194,13 +194,25 @@
     public void aPressedProcessorIsKeptFromTheCheapButAnOldReportFades() {
         Exchange exchange = new Exchange().ready(20, 40);
         Logic.Switch group = exchange.logic.at(101);
-        exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {20, 40, 0.9f});
-        assertEquals(group.pressure(ask(exchange, CHEAP, 1).skill(), 0), 0.9, 1e-6);
+        exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {20, 40, 0.8f});
+        assertEquals(group.pressure(ask(exchange, CHEAP, 1).skill(), 0), 0.8, 1e-6);
         assertEquals(group.pressure(ask(exchange, URGENT, 1).skill(), 0), 0.0);
         exchange.logic.stopped(at(6));
         assertTrue(group.pressure(ask(exchange, CHEAP, 1).skill(), 0) < 0.05);
     }
 
+    @Test
+    public void aJammedProcessorGetsNothingHoweverDear() {
+        Exchange exchange = new Exchange();
+        exchange.settings.put("report.fields", "spare,total,depth,allowed");
+        exchange.ready(20, 40);
+        exchange.logic.reported(at(0), 101, true, Span.ZERO, new float[] {20, 40, 1, 14});
+        assertEquals(exchange.logic.at(101).pressure(ask(exchange, CHEAP, 1).skill(), 0), 0.0);
+        exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {20, 40, 90, 0.3f});
+        exchange.logic.offered(at(1), contact(1, URGENT, 3));
+        assertEquals(exchange.orders(), List.of());
+    }
+
     @Test
     public void timedOutRingsShowAJamOfTheOwnProcessor() {
         Exchange exchange = new Exchange().ready(20, 40);
