--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -218,7 +218,7 @@
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
         final Tally urgent = new Tally(urgentOne.hold, now);
-        final Map<Integer, Weight> weights = new TreeMap<>();
+        Map<Integer, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking, mute;
         final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
@@ -241,11 +241,14 @@
 
         void listed(SwitchLine line) {
             number = line.number();
+            // A machine that takes another's place keeps its groups, and so what was learned of them.
+            weights = weightsTo.computeIfAbsent(number, any -> weights);
             state = line.state();
             if (line.started() != null && (started == null || started.before(line.started()))) {
                 // What was known of the processor that ran before says nothing of this one.
                 started = line.started();
-                budget = 0;
+                // One share of many senders is a fraction of a contact: who may send one early is drawn.
+                budget = chance.nextDouble();
                 budgetAt = now;
                 sign();
                 toldAt = NEVER;
@@ -379,7 +382,7 @@
             double periods = now.since(budgetAt).over(sent.period);
             budget = Math.min(2, budget + usualSent * part * FULL_WORK * periods);
             budgetAt = now;
-            return budget >= (ask.urgent() ? 1 : 1.5) && budget-- > 0;
+            return budget >= 1 && budget-- > 0;
         }
 
         /** The part of the contacts of this skill to keep back from this processor. */
@@ -761,6 +764,7 @@
     private Moment now;
     private final ArrayDeque<Actor<?>> busy = new ArrayDeque<>();
     private final Map<Long, Switch> switches = new TreeMap<>(), legs = new TreeMap<>();
+    private final Map<Integer, Map<Integer, Weight>> weightsTo = new TreeMap<>();
     final Skill[] skills;
     private Skill urgentOne;
     private int cheapest;
