--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -422,7 +422,7 @@
             boolean transit = ask.contact.inTransit();
             asks.add(ask.first ? 1 : 0, now);
             if (this != ask.destination) {
-                if (reason == null && spendCold(ask)) {
+                if (reason == null) {
                     countSent();
                     ask.destination.put(ask);
                 } else {
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -190,6 +190,30 @@
         assertTrue(exchange.orders().stream().filter(order -> order.startsWith("ring")).count() <= 2);
     }
 
+    @Test
+    public void manySendersWithASmallShareReachAColdSwitchTogether() {
+        int rings = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            Exchange exchange = new Exchange().ready(40, 40);
+            exchange.logic = new Logic(exchange.settings, seed, at(0), exchange);
+            exchange.logic.listed(at(20), ListKind.WHOLE, List.of(line(0, State.READY, null),
+                    line(1, State.READY, at(20))));
+            exchange.group(1, 40, 40);
+            exchange.logic.offered(at(21), contact(1, CHEAP, 3));
+            rings += exchange.orders().contains("ring 1 101") ? 1 : 0;
+        }
+        assertTrue(rings > 2 && rings < 20, "" + rings);
+    }
+
+    @Test
+    public void aReplacedMachineKeepsWhatWasLearnedOfItsNumber() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.at(101).linked(2, false);
+        exchange.logic.listed(at(1), ListKind.CHANGES, List.of(
+                new martenslip.control.SwitchLine(900, 1, State.READY, at(1), 0)));
+        assertEquals(exchange.logic.at(900).weight(exchange.logic.at(102)), 0.0);
+    }
+
     @Test
     public void aPressedProcessorIsKeptFromTheCheapButAnOldReportFades() {
         Exchange exchange = new Exchange().ready(20, 40);
