--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -73,10 +73,6 @@
         public void to(Switch a) { a.through(ask, others); }
     }
 
-    record NoTandem(Ask ask) implements Note<Switch> {
-        public void to(Switch a) { a.refuse(ask, Reason.FULL); }
-    }
-
     record Stood(long contact, Span took) implements Note<Switch> {
         public void to(Switch a) { a.stood(contact, took); }
     }
@@ -106,83 +102,60 @@
         boolean goes(int number) { return pools.contains("") || pools.contains("" + number); }
     }
 
-    /** A histogram of spans over doubling bins below a scale, halved as each period has passed. */
-    static final class Spans {
-        static final int BINS = 8;
-        final double[] bins = new double[BINS];
+    /** A histogram over doubling bins below a scale, halved each third period; one bin makes it a count. */
+    static final class Seen {
+        final double[] bins;
         final Span scale, period;
-        Moment halved;
+        final Moment began;
+        long halvings;
 
-        Spans(Span scale, Span period, Moment now) {
+        Seen(int bins, Span scale, Span period, Moment now) {
+            this.bins = new double[bins];
             this.scale = scale;
             this.period = period;
-            halved = now;
+            began = now;
         }
 
-        private void age(Moment now) {
-            while (now.since(halved).longerThan(period)) {
-                halved = now.since(halved).longerThan(period.times(8)) ? now : halved.plus(period);
-                for (int i = 0; i < BINS; i++) {
-                    bins[i] /= 2;
+        private double age(Moment now) {
+            double passed = now.since(began).over(period) / 3;
+            for (; halvings < (long) passed; halvings++) {
+                for (int i = 0; i < bins.length; i++) {
+                    bins[i] = bins[i] < 0.01 ? 0 : bins[i] / 2;
                 }
             }
+            return passed;
         }
 
-        void add(Span span, Moment now) {
+        void add(double amount, Span span, Moment now) {
             age(now);
-            int bin = BINS - 1;
+            int bin = bins.length - 1;
             for (Span edge = scale; bin > 0 && edge.longerThan(span); edge = edge.times(0.5)) {
                 bin--;
             }
-            bins[bin]++;
+            bins[bin] += amount;
+        }
+
+        /** The mean for one period; while young, over what has passed but not under a whole period. */
+        double mean(Moment now) {
+            double seen = 3 * (1 + age(now) - halvings - Math.pow(0.5, halvings));
+            return Arrays.stream(bins).sum() / Math.max(1, seen);
         }
 
         /** The upper edge of the bin that holds this part of what was seen; zero where too little was. */
         Span quantile(double part, Moment now) {
             age(now);
             double total = Arrays.stream(bins).sum(), left = total * part;
-            for (int i = 0; total >= 1 && i < BINS; i++) {
+            for (int i = 0; total >= 1 && i < bins.length; i++) {
                 left -= bins[i];
                 if (left <= 0) {
-                    return scale.times(Math.pow(2, i - BINS + 2));
+                    return scale.times(Math.pow(2, i - bins.length + 2));
                 }
             }
             return Span.ZERO;
         }
     }
 
-    /** Counts over the last few periods of one length. */
-    static final class Tally {
-        final double[] bins = new double[4];
-        final Span period;
-        final Moment began;
-        long last;
-
-        Tally(Span period, Moment now) {
-            this.period = period;
-            began = now;
-        }
-
-        private void turn(Moment now) {
-            long bin = now.since(began).ns() / period.ns();
-            for (long i = Math.max(last + 1, bin - bins.length + 1); i <= bin; i++) {
-                bins[(int) (i % bins.length)] = 0;
-            }
-            last = bin;
-        }
-
-        void add(double amount, Moment now) {
-            turn(now);
-            bins[(int) (last % bins.length)] += amount;
-        }
-
-        /** The mean for one period; while young, over what has passed but not under a whole period. */
-        double mean(Moment now) {
-            turn(now);
-            double seen = Math.min(bins.length - 0.5, now.since(began).over(period));
-            return Arrays.stream(bins).sum() / Math.max(1, seen);
-        }
-    }
+    private Seen count(Span period) { return new Seen(1, period, period, now); }
 
     class Actor<A extends Actor<A>> {
         private final ArrayDeque<Note<A>> inbox = new ArrayDeque<>();
@@ -217,15 +190,15 @@
         int free, size;
         final Map<Long, Held> rings = new LinkedHashMap<>();
         final int[] held = new int[skills.length];
-        final Tally urgent = new Tally(urgentOne.hold, now);
+        final Seen urgent = count(urgentOne.hold);
         Map<Integer, Weight> weights = new TreeMap<>();
         final List<Ask> waiting = new ArrayList<>();
         boolean ticking, mute;
-        final Spans setUps = new Spans(patienceMost, urgentOne.target, now);
-        final Tally sent = new Tally(urgentOne.target, now), answers = new Tally(urgentOne.target, now),
-                asks = new Tally(urgentOne.target, now);
+        final Seen setUps = new Seen(8, patienceMost, urgentOne.target.times(1 / 3.0), now);
+        final Seen sent = count(urgentOne.target), answers = count(urgentOne.target),
+                asks = count(urgentOne.target);
         double warmRate, budget, cutBy, usual, depth;
-        Moment budgetAt = now, lastSign = now, nextTrial = NEVER, fullUntil = NEVER, toldAt = NEVER;
+        Moment budgetAt = now, lastSign = now, nextTrial = NEVER, toldAt = NEVER;
         Span wait = Span.ZERO, trialGap = urgentOne.target;
 
         Switch(long id) {
@@ -233,8 +206,8 @@
         }
 
         void stood(long contact, Span took) {
-            setUps.add(took, now);
-            answers.add(1, now);
+            setUps.add(1, took, now);
+            answers.add(1, Span.ZERO, now);
             sign();
             rings.computeIfPresent(contact, (id, ring) -> new Held(ring.skill, ring.width, null));
         }
@@ -290,9 +263,6 @@
             } else if (end.cause() == Cause.TIMED_OUT && ring != null && ring.since != null) {
                 mute |= lastSign.before(ring.since);
             }
-            if (end.cause() == Cause.TURNED_BACK && end.blame() == Blame.PROCESSOR) {
-                fullUntil = now.plus(end.stayAway().least(urgentOne.target.times(0.2)));
-            }
             reported(end.report());
         }
 
@@ -319,7 +289,7 @@
         }
 
         void countSent() {
-            sent.add(1, now);
+            sent.add(1, Span.ZERO, now);
             warmRate += coldPart() < 1 ? 0 : (sent.mean(now) - warmRate) / 16;
         }
 
@@ -348,7 +318,7 @@
 
         /** Null where the group takes the contact, else why not. */
         Reason admits(Ask ask, boolean tandem) {
-            if (free < ask.width() || reserved(ask)) {
+            if (free < ask.width()) {
                 return Reason.FULL;
             }
             boolean early = tandem || ask.late(now);
@@ -397,8 +367,7 @@
                     * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
             // A processor that takes next to nothing is jammed: what is sent there, however dear, only feeds it.
-            return now.before(fullUntil) ? 1
-                    : skill.rank == 0 ? Math.max(ramp(cutBy * fresh, 0.85, 0.95), ramp(slow, 1, 2))
+            return skill.rank == 0 ? Math.max(ramp(cutBy * fresh, 0.85, 0.95), ramp(slow, 1, 2))
                     : Math.max(cutBy * fresh, ramp(slow, 0.2, 0.7));
         }
 
@@ -420,7 +389,7 @@
         void asked(Ask ask) {
             Reason reason = processor(ask);
             boolean transit = ask.contact.inTransit();
-            asks.add(ask.first ? 1 : 0, now);
+            asks.add(ask.first ? 1 : 0, Span.ZERO, now);
             if (this != ask.destination) {
                 if (reason == null) {
                     countSent();
@@ -432,7 +401,7 @@
             }
             // A blocked caller who asks again is one want.
             if (ask.first && ask.urgent() && now.before(ask.firstTry.plus(ask.skill.target))) {
-                urgent.add(ask.width(), now);
+                urgent.add(ask.width(), Span.ZERO, now);
             }
             if (reason == null && (reason = admits(ask, transit)) == null
                     && (reason = spendCold(ask) ? null : Reason.COLD) == null) {
@@ -465,13 +434,6 @@
             }
         }
 
-        /** Circuits that come free are first for those of a dearer skill that wait for them. */
-        boolean reserved(Ask ask) {
-            int ahead = waiting.stream().filter(other -> other.skill.rank < ask.skill.rank)
-                    .mapToInt(Ask::width).sum();
-            return ahead > 0 && free < ahead + ask.width();
-        }
-
         double weight(Switch tandem) {
             Weight weight = weights.get(tandem.number);
             if (weight == null) {
@@ -498,7 +460,7 @@
 
         /**
          * Tandems in an order drawn by weight, each once for a contact. With a group to the destination a cheap
-         * contact draws once, and often gets none; without one a tandem is the planned route.
+         * contact draws once; without one a tandem is the planned route.
          */
         List<Switch> draw(Ask ask) {
             if (size > 0 && !ask.urgent() && (!ask.first || ask.late(now))) {
@@ -513,17 +475,17 @@
                 }
             }
             List<Switch> drawn = new ArrayList<>(order.values());
-            boolean gate = size > 0 && !ask.urgent() && !drawn.isEmpty();
-            return gate && chance.nextDouble() > Math.max(WEIGHT_LEAST, ramp(weight(drawn.get(0)), 0.35, 0.65))
-                    ? List.of() : gate ? drawn.subList(0, 1) : drawn;
+            return size > 0 && !ask.urgent() && !drawn.isEmpty() ? drawn.subList(0, 1) : drawn;
         }
 
         void through(Ask ask, List<Switch> others) {
-            if (coldPart() >= 1 && state == SwitchLine.State.READY && ask.skill.goes(number) && !silent()
+            if (this != ask.destination && coldPart() >= 1 && state == SwitchLine.State.READY && ask.skill.goes(number) && !silent()
                     && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
                 take(ask);
+            } else if (this == ask.destination) {
+                refuse(ask, Reason.FULL);
             } else if (others.isEmpty()) {
-                ask.destination.put(new NoTandem(ask));
+                ask.destination.put(new Through(ask, others));
             } else {
                 others.get(0).put(new Through(ask, others.subList(1, others.size())));
             }
@@ -764,7 +726,8 @@
     private Moment now;
     private final ArrayDeque<Actor<?>> busy = new ArrayDeque<>();
     private final Map<Long, Switch> switches = new TreeMap<>(), legs = new TreeMap<>();
-    private final Map<Integer, Map<Integer, Weight>> weightsTo = new TreeMap<>();
+    private final Map<Integer, Switch> numbers = new HashMap<>();
+    private final Map<Integer, Map<Integer, Weight>> weightsTo = new HashMap<>();
     final Skill[] skills;
     private Skill urgentOne;
     private int cheapest;
@@ -858,10 +821,8 @@
         return byNumber(homeNumber);
     }
 
-    /** While a machine replaces another, both bear the number: the one that takes what is new counts. */
     Switch byNumber(int number) {
-        return switches.values().stream().filter(one -> one.number == number)
-                .min(Comparator.comparing(one -> one.state != SwitchLine.State.READY)).orElse(null);
+        return numbers.get(number);
     }
 
     Switch at(long id) {
@@ -875,9 +836,13 @@
         }
         lines.forEach(line -> tell(at, at(line.id()), new Told(line)));
         boolean all = kind == ListKind.WHOLE || kind == ListKind.REMEMBERED;
-        List<Long> named = lines.stream().map(SwitchLine::id).toList();
+        Set<Long> named = new HashSet<>(lines.stream().map(SwitchLine::id).toList());
         switches.values().stream().filter(one -> all && !named.contains(one.id)).forEach(one -> tell(at, one,
                 new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0))));
+        // While a machine replaces another, both bear the number: the one that takes what is new counts.
+        numbers.clear();
+        switches.values().forEach(one -> numbers.merge(one.number, one,
+                (a, b) -> a.state == SwitchLine.State.READY || b.state != SwitchLine.State.READY ? a : b));
     }
 
     private <A extends Actor<A>> void tell(Moment at, A actor, Note<A> note) {
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -60,7 +60,7 @@
     public void sharesBindOnlyNearFull() {
         Exchange exchange = new Exchange().ready(20, 40);
         Logic.Switch group = exchange.logic.at(101);
-        group.urgent.add(16, at(0));
+        group.urgent.add(16, Span.ZERO, at(0));
         assertTrue(group.stage() >= 2);
         assertNull(group.admits(ask(exchange, CHEAP, 1), false));
         exchange.group(1, 1, 40);
@@ -72,7 +72,7 @@
     public void theWidthCountsAtAShareEdge() {
         Exchange exchange = new Exchange().ready(1, 40);
         Logic.Switch group = exchange.logic.at(101);
-        group.urgent.add(10, at(0));
+        group.urgent.add(10, Span.ZERO, at(0));
         double limit = group.limit(CHEAP);
         group.held[URGENT] = 40 - 1 - (int) limit;
         group.free = 1;
@@ -95,11 +95,11 @@
 
     @Test
     public void urgentDemandFades() {
-        Logic.Tally tally = new Logic.Tally(Span.ofMillis(1000), at(0));
-        tally.add(8, at(0.5));
-        assertEquals(tally.mean(at(0.9)), 8.0);
-        assertEquals(tally.mean(at(3.5)), 8 / 3.5, 1e-9);
-        assertEquals(tally.mean(at(9)), 0.0);
+        Logic.Seen count = new Logic.Seen(1, Span.ofMillis(1000), Span.ofMillis(1000), at(0));
+        count.add(8, Span.ZERO, at(0.5));
+        assertEquals(count.mean(at(0.9)), 8.0);
+        assertEquals(count.mean(at(3.5)), 4 / (3 * (0.5 + 0.5 / 3)), 1e-9);
+        assertEquals(count.mean(at(90)), 0.0);
     }
 
     @Test
