--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -22,10 +22,12 @@
     static final double WEIGHT_UP = 0.3, WEIGHT_DOWN = 0.5, WEIGHT_NEW = 0.6, WEIGHT_LEAST = 0.05;
     // The part of its capacity that a processor is taken to be loaded with on an ordinary day.
     static final double FULL_WORK = 0.8;
+    // What is sent to a cold switch over its part of the usual: well under the rule's multiple.
+    static final double COLD_WORK = 1.25;
     // The work of a message that waits at a processor, in set-ups: most are looks, answers and repeats.
     static final double MESSAGE = 0.4;
-    // Rings out that one switch may count for; how much readier a late contact is kept back; the longest gap
-    // between trials of a silent switch, in urgent answer targets.
+    // Rings out that one switch may count for; how much readier a late contact is kept back; the gap
+    // between trials of a silent switch, in turns.
     static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
     static final double FEW = 6;
     // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
@@ -45,7 +47,6 @@
     record Over(RingEnd end) implements Note<Front> { public void to(Front a) { a.over(end); } }
     record CallerGone(long id) implements Note<Front> { public void to(Front a) { a.letGo(a.open.get(id)); } }
     record Rung(long contact) implements Note<Front> { public void to(Front a) { a.rung(contact); } }
-    record Tick(Switch asker) implements Note<Front> { public void to(Front a) { a.tick(asker); } }
     record Denied(long id, boolean own) implements Note<Front> {
         public void to(Front a) { a.denied(a.open.get(id), own); }
     }
@@ -83,14 +84,20 @@
         public void to(Switch a) { a.waiting.removeIf(ask -> ask.contact.id() == id); }
     }
 
-    record Serve() implements Note<Switch> { public void to(Switch a) { a.tickRung(); } }
+    record Serve() implements Note<Switch> {
+        public void to(Switch a) {
+            a.ticking = false;
+            a.serve();
+        }
+    }
+
     record Told(SwitchLine line) implements Note<Switch> { public void to(Switch a) { a.listed(line); } }
     record Reported(float[] says) implements Note<Switch> { public void to(Switch a) { a.reported(says); } }
     record Linked(int tandem, boolean leads) implements Note<Switch> {
         public void to(Switch a) { a.linked(tandem, leads); }
     }
 
-    record PeerSays(int peer, byte[] note) implements Note<Front> { public void to(Front a) { a.heard(this); } }
+    record PeerSays(byte[] note) implements Note<Front> { public void to(Front a) { a.heard(note); } }
     record Judge(Switch tandem, boolean well) implements Note<Switch> {
         public void to(Switch a) { a.judge(tandem, well); }
     }
@@ -179,8 +186,8 @@
     /** A ring's circuits on the group; since is null once the contact stands. */
     private record Held(Skill skill, int width, Moment since) { }
 
-    /** It drifts back to where it rests: 1 once a contact stood that way; lower after turn-backs only. */
-    private record Weight(double then, double rest, Moment at) { }
+    /** What time mends, but for 0: no group leads on there. */
+    private record Weight(double then, Moment at) { }
 
     final class Switch extends Actor<Switch> {
         final long id;
@@ -199,7 +206,7 @@
                 asks = count(urgentOne.target);
         double warmRate, budget, cutBy, usual, depth;
         Moment budgetAt = now, lastSign = now, nextTrial = NEVER, toldAt = NEVER;
-        Span wait = Span.ZERO, trialGap = urgentOne.target;
+        Span wait = Span.ZERO;
 
         Switch(long id) {
             this.id = id;
@@ -232,10 +239,9 @@
             if (report.length >= 2) {
                 free = Math.round(report[0]);
                 size = Math.round(report[1]);
+                legs.remove(id);
                 if (size > 0) {
                     legs.put(id, this);
-                } else {
-                    legs.remove(id);
                 }
             }
             for (int i = 2; i < report.length && i < fields.size(); i++) {
@@ -277,7 +283,6 @@
         void sign() {
             lastSign = now;
             mute = false;
-            trialGap = turn();
         }
 
         void take(Ask ask) {
@@ -304,16 +309,9 @@
             return held[skill] + (skill == cheapest ? unknown : 0);
         }
 
-        /** At first a class may fill the group; later it has its share and what others leave idle. */
+        /** With next to no urgent demand a class may fill the group. */
         double limit(int skill) {
-            int stage = stage();
-            double limit = stage == 0 ? size : share(skill, stage) * size;
-            for (int other = 0; stage > 0 && other < skills.length; other++) {
-                if (other != skill && skills[other].rank > 0) {
-                    limit += Math.max(0, share(other, stage) * size - holds(other));
-                }
-            }
-            return limit;
+            return stage() == 0 ? size : share(skill, stage()) * size;
         }
 
         /** Null where the group takes the contact, else why not. */
@@ -349,8 +347,9 @@
             }
             // Asks count by half: after a refusal the same caller asks again.
             double usualSent = Math.max(warmRate, asks.mean(now) / 2);
+            part *= Math.min(COLD_WORK, 0.6 * fallMultiple);
             double periods = now.since(budgetAt).over(sent.period);
-            budget = Math.min(2, budget + usualSent * part * FULL_WORK * periods);
+            budget = Math.min(2, budget + usualSent * part * periods);
             budgetAt = now;
             return budget >= 1 && budget-- > 0;
         }
@@ -366,7 +365,7 @@
             double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now))
                     * answers.period.over(skill.target);
             double slow = Math.max(queued, wait.times(fresh).least(rings).over(skill.target));
-            // A processor that takes next to nothing is jammed: what is sent there, however dear, only feeds it.
+            // One that takes next to nothing is jammed: what is sent there, however dear, only feeds it.
             return skill.rank == 0 ? Math.max(ramp(cutBy * fresh, 0.85, 0.95), ramp(slow, 1, 2))
                     : Math.max(cutBy * fresh, ramp(slow, 0.2, 0.7));
         }
@@ -377,9 +376,8 @@
                 return Reason.DOWN;
             }
             if (trial) {
-                // At doubling gaps: the trials of all exchanges must not keep a slow processor jammed.
-                trialGap = trialGap.plus(trialGap).most(turn().times(TRIAL_GAP));
-                nextTrial = now.plus(trialGap);
+                // The trials of all exchanges must not keep a slow processor jammed.
+                nextTrial = now.plus(turn().times(TRIAL_GAP));
             }
             double back = trial ? 0 : pressure(ask.skill, this == ask.destination ? 0 : ask.out);
             back *= ask.late(now) ? LATE_BACK : 1;
@@ -430,7 +428,7 @@
             waiting.add(at, ask);
             if (!ticking) {
                 ticking = true;
-                front.put(new Tick(this));
+                orders.clock(urgentOne.target.times(0.04).least(round), id * 2 + 1);
             }
         }
 
@@ -439,28 +437,24 @@
             if (weight == null) {
                 return WEIGHT_NEW;
             }
-            double drift = Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
-            return weight.rest - (weight.rest - weight.then) * drift;
+            double mend = Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
+            return weight.then == 0 ? 0 : 1 - (1 - weight.then) * mend;
         }
 
-        /** A tandem over which nothing ever stood may have no group to here, which time does not mend. */
         void judge(Switch tandem, boolean well) {
-            double weight = weight(tandem), rest = weights.containsKey(tandem.number)
-                    ? weights.get(tandem.number).rest : WEIGHT_NEW;
+            double weight = weight(tandem);
             weight = well ? weight + WEIGHT_UP * (1 - weight) : weight * WEIGHT_DOWN;
-            rest = well ? 1 : rest < 1 ? rest * WEIGHT_DOWN : 1;
-            weights.put(tandem.number, new Weight(Math.max(WEIGHT_LEAST, weight), Math.max(WEIGHT_LEAST, rest),
-                    now));
+            weights.put(tandem.number, new Weight(Math.max(WEIGHT_LEAST, weight), now));
         }
 
         /** What a tandem itself says of its group to here stands over what was learned of it. */
         void linked(int tandem, boolean leads) {
-            weights.put(tandem, new Weight(leads ? WEIGHT_NEW : 0, leads ? 1 : 0, now));
+            weights.put(tandem, new Weight(leads ? WEIGHT_NEW : 0, now));
         }
 
         /**
-         * Tandems in an order drawn by weight, each once for a contact. With a group to the destination a cheap
-         * contact draws once; without one a tandem is the planned route.
+         * Tandems in an order drawn by weight, each once for a contact. With a group to the destination a
+         * cheap contact draws once; without one a tandem is the planned route.
          */
         List<Switch> draw(Ask ask) {
             if (size > 0 && !ask.urgent() && (!ask.first || ask.late(now))) {
@@ -479,11 +473,11 @@
         }
 
         void through(Ask ask, List<Switch> others) {
-            if (this != ask.destination && coldPart() >= 1 && state == SwitchLine.State.READY && ask.skill.goes(number) && !silent()
-                    && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
-                take(ask);
-            } else if (this == ask.destination) {
+            if (this == ask.destination) {
                 refuse(ask, Reason.FULL);
+            } else if (coldPart() >= 1 && state == SwitchLine.State.READY && ask.skill.goes(number)
+                    && !silent() && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
+                take(ask);
             } else if (others.isEmpty()) {
                 ask.destination.put(new Through(ask, others));
             } else {
@@ -491,11 +485,6 @@
             }
         }
 
-        void tickRung() {
-            ticking = false;
-            serve();
-        }
-
         void serve() {
             List<Ask> turns = new ArrayList<>(waiting);
             waiting.clear();
@@ -533,7 +522,6 @@
     final class Front extends Actor<Front> {
         final Map<Long, Open> open = new LinkedHashMap<>();
         final Map<Long, Moment> firstTries = new LinkedHashMap<>();
-        final Set<Integer> heardOf = new HashSet<>();
         Moment probedAt = NEVER, startedAt = now;
 
         void answered(long contact) {
@@ -558,29 +546,20 @@
             }
         }
 
-        void tick(Switch asker) {
-            orders.clock(urgentOne.target.times(0.04).least(round), asker.id * 2 + 1);
-        }
-
         /** The numbers that this exchange has groups to, for peers that look for a tandem. */
-        void tellGroups(int peer, boolean first) {
+        void tellGroups() {
             BitSet groups = new BitSet();
-            groups.set(0, first);
-            legs.values().forEach(leg -> groups.set(1 + leg.number));
+            legs.values().stream().filter(leg -> leg.number >= 0).forEach(leg -> groups.set(leg.number));
             byte[] bits = groups.toByteArray();
-            orders.note(peer, ByteBuffer.allocate(2 + bits.length).putShort((short) homeNumber).put(bits).array());
+            ByteBuffer note = ByteBuffer.allocate(2 + bits.length).putShort((short) homeNumber).put(bits);
+            orders.note(Orders.ALL_PEERS, note.array());
         }
 
-        /** A peer that says it for the first time, again, has started anew and knows nothing of this one. */
-        void heard(PeerSays says) {
-            if (says.note.length < 2) {
-                return;
-            }
-            BitSet groups = BitSet.valueOf(Arrays.copyOfRange(says.note, 2, says.note.length));
-            int tandem = ByteBuffer.wrap(says.note).getShort();
-            switches.values().forEach(to -> to.put(new Linked(tandem, groups.get(1 + to.number))));
-            if (!heardOf.add(says.peer) && groups.get(0)) {
-                tellGroups(says.peer, false);
+        void heard(byte[] note) {
+            if (note.length >= 2) {
+                BitSet groups = BitSet.valueOf(Arrays.copyOfRange(note, 2, note.length));
+                int tandem = ByteBuffer.wrap(note).getShort();
+                numbers.forEach((number, to) -> to.put(new Linked(tandem, groups.get(number))));
             }
         }
 
@@ -604,7 +583,7 @@
             if (mayTell && startedAt != null && now.since(startedAt).longerThan(urgentOne.target)) {
                 // Not at once: peers that start together with this one would not hear it.
                 startedAt = null;
-                tellGroups(Orders.ALL_PEERS, true);
+                tellGroups();
             }
             clock(one, end);
             clock(one, one.worthUntil);
@@ -656,24 +635,21 @@
             if (one.at != one.destination && end.cause() != Cause.NOT_SENT) {
                 one.destination.put(new Judge(one.at, false));
             }
-            switch (one.contact.inTransit() ? Cause.BUSY : end.cause()) {
-                case TIMED_OUT, CUT, CALLED_OFF -> {
-                    Moment again = now.plus(release).plus(round);
-                    if (again.before(one.paysUntil)) {
-                        seekAt(one, again);
-                    } else {
-                        abandon(one);
-                    }
-                }
-                case TURNED_BACK, NOT_SENT, UNREACHABLE -> {
-                    boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
-                    if (!now.before(one.paysUntil) || pressed && one.skill.rank > 0) {
-                        defer(one);
-                    } else {
-                        seekAt(one, pressed ? now.plus(urgentOne.target.times(AGAIN)) : now);
-                    }
-                }
-                default -> defer(one);
+            boolean held = switch (end.cause()) {
+                case TIMED_OUT, CUT, CALLED_OFF -> true;
+                default -> false;
+            };
+            boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
+            boolean done = one.contact.inTransit() || end.cause() == Cause.BUSY
+                    || pressed && one.skill.rank > 0;
+            Moment again = held ? now.plus(release).plus(round)
+                    : pressed ? now.plus(urgentOne.target.times(AGAIN)) : now;
+            if (!done && again.before(one.paysUntil)) {
+                seekAt(one, again);
+            } else if (held) {
+                abandon(one);
+            } else {
+                defer(one);
             }
         }
 
@@ -713,6 +689,7 @@
             }
             if (one.doing == Doing.SEEKING && one.destination != null) {
                 one.destination.put(new Withdraw(one.contact.id()));
+                (home() == null ? one.destination : home()).put(new Withdraw(one.contact.id()));
             } else if (one.doing == Doing.RINGING && mayCallOff) {
                 orders.callOff(one.contact.id(), one.rings - 1);
             }
@@ -734,7 +711,7 @@
     private Span patienceMost = Span.ZERO;
     private final List<String> fields;
     private final Span round, release, comeBack, warmWithin;
-    private final double coldShare;
+    private final double coldShare, fallMultiple;
     private final int mostRings, homeNumber;
     private final boolean mayCallOff, mayProbe, mayTell;
     final Front front;
@@ -749,6 +726,7 @@
         comeBack = may("retry-after")
                 ? new Span((long) number("policy-limits.max-retry-after-ns", 0)) : Span.ZERO;
         warmWithin = new Span((long) number("guarantees.warm-within-ns", 1));
+        fallMultiple = number("guarantees.fall-multiple", 1);
         coldShare = number("guarantees.cold-share", 0.2);
         mostRings = (int) number("policy-limits.send-cap", 1);
         mayCallOff = may("cancel");
@@ -867,10 +845,6 @@
 
     @Override public void ringEnded(Moment at, RingEnd end) {
         tell(at, at(end.target()), new Ended(end));
-        if (end.cause() == Cause.TIMED_OUT) {
-            // A jammed own processor lets nothing stand: what timed out must count as a slow set-up there.
-            tell(at, home(), new Stood(end.contact(), end.took()));
-        }
         tell(at, front, new Over(end));
     }
 
@@ -891,7 +865,7 @@
     }
 
     @Override public void peerNote(Moment at, int peer, byte[] note) {
-        tell(at, front, new PeerSays(peer, note));
+        tell(at, front, new PeerSays(note));
     }
 
     @Override public void stopped(Moment at) { now = at; }
