--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -80,10 +80,6 @@
 
     record Ended(RingEnd end) implements Note<Switch> { public void to(Switch a) { a.ended(end); } }
     record Return(long id) implements Note<Switch> { public void to(Switch a) { a.giveBack(id); } }
-    record Withdraw(long id) implements Note<Switch> {
-        public void to(Switch a) { a.waiting.removeIf(ask -> ask.contact.id() == id); }
-    }
-
     record Serve() implements Note<Switch> {
         public void to(Switch a) {
             a.ticking = false;
@@ -91,6 +87,7 @@
         }
     }
 
+    record TryAgain() implements Note<Switch> { public void to(Switch a) { a.nextTrial = NEVER; } }
     record Told(SwitchLine line) implements Note<Switch> { public void to(Switch a) { a.listed(line); } }
     record Reported(float[] says) implements Note<Switch> { public void to(Switch a) { a.reported(says); } }
     record Linked(int tandem, boolean leads) implements Note<Switch> {
@@ -103,8 +100,7 @@
     }
 
     /** A skill as the settings describe it; rank 0 is the urgent one, the row its place in the paper. */
-    record Skill(int id, int rank, int row, int width, Span target, Span hold, Span patience,
-                 List<String> pools) {
+    record Skill(int id, int rank, int row, int width, Span target, Span hold, List<String> pools) {
         /** With pools in place of a mesh a skill has only some of them. */
         boolean goes(int number) { return pools.contains("") || pools.contains("" + number); }
     }
@@ -191,7 +187,7 @@
 
     final class Switch extends Actor<Switch> {
         final long id;
-        int number = -1;
+        int number = -1, zone = -1;
         SwitchLine.State state = SwitchLine.State.GONE;
         Moment started;
         int free, size;
@@ -213,6 +209,11 @@
         }
 
         void stood(long contact, Span took) {
+            if (silent()) {
+                // It may have been cut off together with others, which else wait for their trials one by one.
+                switches.values().stream().filter(other -> other.zone == zone)
+                        .forEach(other -> other.put(new TryAgain()));
+            }
             setUps.add(1, took, now);
             answers.add(1, Span.ZERO, now);
             sign();
@@ -224,6 +225,7 @@
             // A machine that takes another's place keeps its groups, and so what was learned of them.
             weights = weightsTo.computeIfAbsent(number, any -> weights);
             state = line.state();
+            zone = line.zone();
             if (line.started() != null && (started == null || started.before(line.started()))) {
                 // What was known of the processor that ran before says nothing of this one.
                 started = line.started();
@@ -273,6 +275,7 @@
         }
 
         Held giveBack(long contact) {
+            waiting.removeIf(ask -> ask.contact.id() == contact);
             Held ring = rings.remove(contact);
             if (ring != null) {
                 held[ring.skill.id] -= ring.width;
@@ -289,13 +292,9 @@
             rings.put(ask.contact.id(), new Held(ask.skill, ask.width(), now));
             held[ask.skill.id] += ask.width();
             free -= ask.width();
-            countSent();
-            front.put(new Granted(ask.contact.id(), this));
-        }
-
-        void countSent() {
             sent.add(1, Span.ZERO, now);
             warmRate += coldPart() < 1 ? 0 : (sent.mean(now) - warmRate) / 16;
+            front.put(new Granted(ask.contact.id(), this));
         }
 
         int stage() {
@@ -309,11 +308,6 @@
             return held[skill] + (skill == cheapest ? unknown : 0);
         }
 
-        /** With next to no urgent demand a class may fill the group. */
-        double limit(int skill) {
-            return stage() == 0 ? size : share(skill, stage()) * size;
-        }
-
         /** Null where the group takes the contact, else why not. */
         Reason admits(Ask ask, boolean tandem) {
             if (free < ask.width()) {
@@ -324,7 +318,9 @@
             if (ask.urgent() || free - ask.width() >= level) {
                 return null;
             }
-            return !early && holds(ask.skill.id) + ask.width() <= limit(ask.skill.id) ? null : Reason.SHARE;
+            // With next to no urgent demand a class may fill the group.
+            double limit = stage() == 0 ? size : share(ask.skill.id, stage()) * size;
+            return !early && holds(ask.skill.id) + ask.width() <= limit ? null : Reason.SHARE;
         }
 
         /** Rings out and no word for longer than set-ups here take: it may be hung, cut off, jammed, slow. */
@@ -336,7 +332,7 @@
 
         double coldPart() {
             double age = started == null ? 1 : Math.max(0, now.since(started).over(warmWithin));
-            return age >= 1 ? 1 : coldShare + (1 - coldShare) * age;
+            return age >= 1 ? 1 : 1 - (1 - number("guarantees.cold-share", 0.2)) * (1 - age);
         }
 
         /** Each exchange sends a cold processor its own usual part, cut as its capacity is. */
@@ -347,7 +343,7 @@
             }
             // Asks count by half: after a refusal the same caller asks again.
             double usualSent = Math.max(warmRate, asks.mean(now) / 2);
-            part *= Math.min(COLD_WORK, 0.6 * fallMultiple);
+            part *= Math.min(COLD_WORK, 0.6 * number("guarantees.fall-multiple", 1));
             double periods = now.since(budgetAt).over(sent.period);
             budget = Math.min(2, budget + usualSent * part * periods);
             budgetAt = now;
@@ -359,8 +355,7 @@
             Span age = toldAt == NEVER ? patienceMost : now.since(toldAt);
             // An old report must not shut a switch for good: with nothing sent there, no better one comes.
             double fresh = Math.pow(0.5, age.over(turn()));
-            Span rings = this == home() ? setUps.quantile(0.25, now)
-                    : fields.size() > 2 ? Span.ZERO : setUps.quantile(0.5, now);
+            Span rings = this == home() ? setUps.quantile(0.25, now) : Span.ZERO;
             // Rings out over answers in a time is the wait to come, known before the first slow answer.
             double queued = Math.max(0, out - 1) / Math.max(3, answers.mean(now))
                     * answers.period.over(skill.target);
@@ -390,7 +385,6 @@
             asks.add(ask.first ? 1 : 0, Span.ZERO, now);
             if (this != ask.destination) {
                 if (reason == null) {
-                    countSent();
                     ask.destination.put(ask);
                 } else {
                     refuse(ask, Reason.PRESSED);
@@ -401,16 +395,16 @@
             if (ask.first && ask.urgent() && now.before(ask.firstTry.plus(ask.skill.target))) {
                 urgent.add(ask.width(), Span.ZERO, now);
             }
-            if (reason == null && (reason = admits(ask, transit)) == null
-                    && (reason = spendCold(ask) ? null : Reason.COLD) == null) {
-                take(ask);
-                return;
-            }
+            reason = reason == null ? admits(ask, transit) : reason;
+            reason = reason == null && !spendCold(ask) ? Reason.COLD : reason;
             List<Switch> drawn = reason == Reason.FULL && !transit && coldPart() >= 1 ? draw(ask) : List.of();
-            if (drawn.isEmpty()) {
-                refuse(ask, reason);
+            if (reason == null) {
+                take(ask);
+            } else if (drawn.isEmpty()) {
+                // With no group that can ever take it and no tandem, nothing is worth waiting for.
+                refuse(ask, size < ask.width() ? Reason.DOWN : reason);
             } else {
-                drawn.get(0).put(new Through(ask, drawn.subList(1, drawn.size())));
+                pass(ask, drawn);
             }
         }
 
@@ -433,10 +427,7 @@
         }
 
         double weight(Switch tandem) {
-            Weight weight = weights.get(tandem.number);
-            if (weight == null) {
-                return WEIGHT_NEW;
-            }
+            Weight weight = weights.getOrDefault(tandem.number, new Weight(WEIGHT_NEW, now));
             double mend = Math.pow(0.5, now.since(weight.at).over(urgentOne.hold.times(4)));
             return weight.then == 0 ? 0 : 1 - (1 - weight.then) * mend;
         }
@@ -453,11 +444,12 @@
         }
 
         /**
-         * Tandems in an order drawn by weight, each once for a contact. With a group to the destination a
+         * Tandems in an order drawn by weight, each once for a contact. With a group that can take it a
          * cheap contact draws once; without one a tandem is the planned route.
          */
         List<Switch> draw(Ask ask) {
-            if (size > 0 && !ask.urgent() && (!ask.first || ask.late(now))) {
+            boolean once = size >= ask.width() && ask.width() <= urgentOne.width && !ask.urgent();
+            if (once && (!ask.first || ask.late(now))) {
                 return List.of();
             }
             Map<Double, Switch> order = new TreeMap<>();
@@ -469,7 +461,7 @@
                 }
             }
             List<Switch> drawn = new ArrayList<>(order.values());
-            return size > 0 && !ask.urgent() && !drawn.isEmpty() ? drawn.subList(0, 1) : drawn;
+            return once && !drawn.isEmpty() ? drawn.subList(0, Math.min(ask.width(), drawn.size())) : drawn;
         }
 
         void through(Ask ask, List<Switch> others) {
@@ -478,13 +470,17 @@
             } else if (coldPart() >= 1 && state == SwitchLine.State.READY && ask.skill.goes(number)
                     && !silent() && pressure(ask.skill, 0) == 0 && admits(ask, true) == null) {
                 take(ask);
-            } else if (others.isEmpty()) {
-                ask.destination.put(new Through(ask, others));
             } else {
-                others.get(0).put(new Through(ask, others.subList(1, others.size())));
+                pass(ask, others);
             }
         }
 
+        /** The last in the row is the destination again, where the contact waits or is refused. */
+        void pass(Ask ask, List<Switch> row) {
+            Switch next = row.isEmpty() ? ask.destination : row.get(0);
+            next.put(new Through(ask, row.stream().skip(1).toList()));
+        }
+
         void serve() {
             List<Ask> turns = new ArrayList<>(waiting);
             waiting.clear();
@@ -580,14 +576,15 @@
                 defer(one);
                 return;
             }
-            if (mayTell && startedAt != null && now.since(startedAt).longerThan(urgentOne.target)) {
+            if (may("peers") && startedAt != null && now.since(startedAt).longerThan(urgentOne.target)) {
                 // Not at once: peers that start together with this one would not hear it.
                 startedAt = null;
                 tellGroups();
             }
             clock(one, end);
             clock(one, one.worthUntil);
-            if (home() != null && mayProbe && now.since(probedAt).longerThan(urgentOne.target.times(0.4))) {
+            boolean due = now.since(probedAt).longerThan(urgentOne.target.times(0.4));
+            if (due && home() != null && may("probes")) {
                 probedAt = now;
                 orders.probe(home().id);
             }
@@ -596,7 +593,7 @@
 
         void seek(Open one) {
             one.destination = byNumber(one.contact.destination());
-            if (one.destination == null || one.rings >= mostRings) {
+            if (one.destination == null || one.rings >= number("policy-limits.send-cap", 1)) {
                 defer(one);
                 return;
             }
@@ -635,10 +632,7 @@
             if (one.at != one.destination && end.cause() != Cause.NOT_SENT) {
                 one.destination.put(new Judge(one.at, false));
             }
-            boolean held = switch (end.cause()) {
-                case TIMED_OUT, CUT, CALLED_OFF -> true;
-                default -> false;
-            };
+            boolean held = EnumSet.of(Cause.TIMED_OUT, Cause.CUT, Cause.CALLED_OFF).contains(end.cause());
             boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
             boolean done = one.contact.inTransit() || end.cause() == Cause.BUSY
                     || pressed && one.skill.rank > 0;
@@ -673,7 +667,8 @@
         // The two places of a final answer; a contact is forgotten there, so nothing can follow.
         void defer(Open one) {
             if (letGo(one)) {
-                orders.defer(one.contact.id(), one.contact.inTransit() ? Span.ZERO : comeBack);
+                double away = may("retry-after") ? number("policy-limits.max-retry-after-ns", 0) : 0;
+                orders.defer(one.contact.id(), one.contact.inTransit() ? Span.ZERO : new Span((long) away));
             }
         }
 
@@ -688,9 +683,9 @@
                 return false;
             }
             if (one.doing == Doing.SEEKING && one.destination != null) {
-                one.destination.put(new Withdraw(one.contact.id()));
-                (home() == null ? one.destination : home()).put(new Withdraw(one.contact.id()));
-            } else if (one.doing == Doing.RINGING && mayCallOff) {
+                one.destination.put(new Return(one.contact.id()));
+                (home() == null ? one.destination : home()).put(new Return(one.contact.id()));
+            } else if (one.doing == Doing.RINGING && may("cancel")) {
                 orders.callOff(one.contact.id(), one.rings - 1);
             }
             return true;
@@ -710,10 +705,8 @@
     private int cheapest;
     private Span patienceMost = Span.ZERO;
     private final List<String> fields;
-    private final Span round, release, comeBack, warmWithin;
-    private final double coldShare, fallMultiple;
-    private final int mostRings, homeNumber;
-    private final boolean mayCallOff, mayProbe, mayTell;
+    private final Span round, release, warmWithin;
+    private final int homeNumber;
     final Front front;
 
     public Logic(Map<String, String> settings, long seed, Moment now, Orders orders) {
@@ -723,15 +716,7 @@
         chance = new SplittableRandom(seed);
         round = new Span((long) number("round-ns", 5e6));
         release = new Span((long) number("family-info.release-ns", 0));
-        comeBack = may("retry-after")
-                ? new Span((long) number("policy-limits.max-retry-after-ns", 0)) : Span.ZERO;
         warmWithin = new Span((long) number("guarantees.warm-within-ns", 1));
-        fallMultiple = number("guarantees.fall-multiple", 1);
-        coldShare = number("guarantees.cold-share", 0.2);
-        mostRings = (int) number("policy-limits.send-cap", 1);
-        mayCallOff = may("cancel");
-        mayProbe = may("probes");
-        mayTell = may("peers");
         homeNumber = (int) number("family-info.home-no", -1);
         fields = Arrays.asList(settings.getOrDefault("report.fields", "").split(","));
         skills = skills();
@@ -766,9 +751,8 @@
             int width = (int) item(settings.get("family-info.widths"), skill, 1);
             Span hold = new Span((long) item(settings.get("family-info.mean-hold-ns"), skill, 1e10));
             all[skill] = new Skill(skill, rank, row, width, new Span((long) number(at + "aim-ns", 1e9)), hold,
-                    new Span((long) number(at + "hard-limit-ns", 9e9)),
                     List.of(settings.getOrDefault("family-info.class-cells." + skill, "").split(",")));
-            patienceMost = patienceMost.least(all[skill].patience);
+            patienceMost = patienceMost.least(new Span((long) number(at + "hard-limit-ns", 9e9)));
         }
         urgentOne = all[byValue[0]];
         cheapest = byValue[count - 1];
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -73,7 +73,7 @@
         Exchange exchange = new Exchange().ready(1, 40);
         Logic.Switch group = exchange.logic.at(101);
         group.urgent.add(10, Span.ZERO, at(0));
-        double limit = group.limit(CHEAP);
+        double limit = exchange.logic.share(CHEAP, group.stage()) * 40;
         group.held[URGENT] = 40 - 1 - (int) limit;
         group.free = 1;
         assertEquals(group.holds(CHEAP), (int) limit);
@@ -338,6 +338,33 @@
         exchange.logic.peerNote(at(3), 2, new byte[0]);
     }
 
+    @Test
+    public void aWideContactDrawsAllTandemsAndAgainWhileItWaits() {
+        Exchange exchange = new Exchange().ready(20, 40).group(1, 3, 40);
+        assertEquals(exchange.logic.at(101).draw(ask(exchange, CHEAP, 4)).size(), 2);
+        assertEquals(exchange.logic.at(101).draw(ask(exchange, CHEAP, 4).again()).size(), 2);
+        assertEquals(exchange.logic.at(101).draw(ask(exchange, CHEAP, 1)).size(), 1);
+        assertEquals(exchange.logic.at(101).draw(ask(exchange, CHEAP, 1).again()).size(), 0);
+    }
+
+    @Test
+    public void withoutAGroupOrATandemAContactIsRefusedAtOnce() {
+        Exchange exchange = new Exchange().ready(0, 0);
+        exchange.logic.offered(at(1), contact(1, CHEAP, 3));
+        assertEquals(exchange.orders(), List.of("defer 1"));
+    }
+
+    @Test
+    public void aSilentSwitchThatAnswersLetsItsZoneBeTried() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        Logic.Switch group = exchange.logic.at(101);
+        Logic.Switch other = exchange.logic.at(102);
+        group.mute = true;
+        other.nextTrial = at(60);
+        exchange.logic.stands(at(5), 3, 0, 101, Span.ofMillis(100));
+        assertTrue(other.nextTrial.before(at(5)));
+    }
+
     @Test
     public void theSameEventsGiveTheSameOrders() {
         List<List<String>> twice = new java.util.ArrayList<>();
