--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -258,7 +258,6 @@
                         cutBy = Math.max(0, 1 - value / usual / FULL_WORK);
                         wait = Span.ofMillis(1000 * MESSAGE * depth / Math.max(value, usual / 100));
                     }
-                    default -> { }
                 }
             }
             serve();
@@ -367,7 +366,9 @@
 
         Reason processor(Ask ask) {
             boolean trial = silent();
-            if (state != SwitchLine.State.READY || trial && now.before(nextTrial)) {
+            // A draining own processor still sets up; what it is to send elsewhere is no new work to it.
+            boolean up = state == SwitchLine.State.READY || this == home() && state != SwitchLine.State.GONE;
+            if (!up || trial && now.before(nextTrial)) {
                 return Reason.DOWN;
             }
             if (trial) {
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -172,6 +172,14 @@
         assertEquals(exchange.orders(), List.of("ring 2 102"));
     }
 
+    @Test
+    public void ownContactsGoOnWhileTheOwnProcessorDrains() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.listed(at(1), ListKind.CHANGES, List.of(line(0, State.DRAINING, null)));
+        exchange.logic.offered(at(1), contact(1, CHEAP, 3));
+        assertEquals(exchange.orders(), List.of("ring 1 101"));
+    }
+
     @Test
     public void theSuccessorOfAReplacedMachineIsFound() {
         Exchange exchange = new Exchange().ready(20, 40);
