--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -780,9 +780,7 @@
         return Math.max(0, Math.min(1, (value - from) / (to - from)));
     }
 
-    Switch home() {
-        return byNumber(homeNumber);
-    }
+    Switch home() { return byNumber(homeNumber); }
 
     Switch byNumber(int number) {
         return numbers.get(number);
@@ -803,9 +801,11 @@
         switches.values().stream().filter(one -> all && !named.contains(one.id)).forEach(one -> tell(at, one,
                 new Told(new SwitchLine(one.id, one.number, SwitchLine.State.GONE, null, 0))));
         // While a machine replaces another, both bear the number: the one that takes what is new counts.
+        // One that only a report has named, with no number yet, is nobody's destination.
         numbers.clear();
         switches.values().forEach(one -> numbers.merge(one.number, one,
                 (a, b) -> a.state == SwitchLine.State.READY || b.state != SwitchLine.State.READY ? a : b));
+        numbers.remove(-1);
     }
 
     private <A extends Actor<A>> void tell(Moment at, A actor, Note<A> note) {
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -373,6 +373,16 @@
         assertTrue(other.nextTrial.before(at(5)));
     }
 
+    @Test
+    public void aSwitchThatOnlyAReportHasNamedHasNoNumber() {
+        Exchange exchange = new Exchange().ready(20, 40);
+        exchange.logic.reported(at(1), 900, true, Span.ZERO, new float[] {5, 9, -1});
+        exchange.logic.listed(at(2), ListKind.WHOLE, List.of(line(0, State.READY, null), line(1, State.READY, null)));
+        exchange.logic.peerNote(at(3), 2, new byte[] {0, 2, 1});
+        exchange.logic.offered(at(4), contact(1, CHEAP, 3));
+        assertNull(exchange.logic.byNumber(-1));
+    }
+
     @Test
     public void theSameEventsGiveTheSameOrders() {
         List<List<String>> twice = new java.util.ArrayList<>();
