--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -27,7 +27,7 @@
     // The work of a message that waits at a processor, in set-ups: most are looks, answers and repeats.
     static final double MESSAGE = 0.4;
     // Rings out that one switch may count for; how much readier a late contact is kept back; the gap
-    // between trials of a silent switch, in turns.
+    // between trials of a silent switch, in turns; exchanges whose trials together are no load on one.
     static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
     static final double FEW = 6;
     // The part of its answer target that a contact may wait for a circuit, the rest is for the set-up; and
@@ -223,7 +223,7 @@
         void listed(SwitchLine line) {
             number = line.number();
             // A machine that takes another's place keeps its groups, and so what was learned of them.
-            weights = weightsTo.computeIfAbsent(number, any -> weights);
+            weights = weightsTo.computeIfAbsent(number, any -> new TreeMap<>());
             state = line.state();
             zone = line.zone();
             if (line.started() != null && (started == null || started.before(line.started()))) {
@@ -318,7 +318,8 @@
                 return null;
             }
             // With next to no urgent demand a class may fill the group.
-            double limit = stage() == 0 ? size : share(ask.skill.id, stage()) * size;
+            int stage = stage();
+            double limit = stage == 0 ? size : share(ask.skill.id, stage) * size;
             return !early && holds(ask.skill.id) + ask.width() <= limit ? null : Reason.SHARE;
         }
 
@@ -383,7 +384,6 @@
         void asked(Ask ask) {
             Reason reason = processor(ask);
             boolean transit = ask.contact.inTransit();
-            asks.add(ask.first ? 1 : 0, Span.ZERO, now);
             if (this != ask.destination) {
                 if (reason == null) {
                     ask.destination.put(ask);
@@ -392,6 +392,7 @@
                 }
                 return;
             }
+            asks.add(ask.first ? 1 : 0, Span.ZERO, now);
             // A blocked caller who asks again is one want.
             if (ask.first && ask.urgent() && now.before(ask.firstTry.plus(ask.skill.target))) {
                 urgent.add(ask.width(), Span.ZERO, now);
@@ -455,9 +456,10 @@
             }
             Map<Double, Switch> order = new TreeMap<>();
             for (Switch leg : legs.values()) {
-                if (leg != this && weight(leg) > 0 && !ask.tried.contains(leg.id)) {
-                    double last = -Math.log(chance.nextDouble()) / weight(leg);
-                    boolean advised = leg.number == ask.contact.hint() && chance.nextDouble() < weight(leg);
+                double weight = weight(leg);
+                if (leg != this && weight > 0 && !ask.tried.contains(leg.id)) {
+                    double last = -Math.log(chance.nextDouble()) / weight;
+                    boolean advised = leg.number == ask.contact.hint() && chance.nextDouble() < weight;
                     order.put(advised ? -1 : last, leg);
                 }
             }
@@ -479,7 +481,7 @@
         /** The last in the row is the destination again, where the contact waits or is refused. */
         void pass(Ask ask, List<Switch> row) {
             Switch next = row.isEmpty() ? ask.destination : row.get(0);
-            next.put(new Through(ask, row.stream().skip(1).toList()));
+            next.put(new Through(ask, row.subList(Math.min(1, row.size()), row.size())));
         }
 
         void serve() {
@@ -600,7 +602,7 @@
             }
             one.doing = Doing.SEEKING;
             (one.asked || home() == null ? one.destination : home()).put(new Ask(one.contact, one.skill,
-                    one.destination, !one.asked, one.worthUntil, out(), one.firstTry, one.tried));
+                    one.destination, !one.asked, one.worthUntil, out(), one.firstTry, Set.copyOf(one.tried)));
             one.asked = true;
         }
 
@@ -782,9 +784,7 @@
 
     Switch home() { return byNumber(homeNumber); }
 
-    Switch byNumber(int number) {
-        return numbers.get(number);
-    }
+    Switch byNumber(int number) { return numbers.get(number); }
 
     Switch at(long id) {
         return switches.computeIfAbsent(id, Switch::new);
--- a/src/test/java/martenslip/Exchange.java
+++ b/src/test/java/martenslip/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import martenslip.control.Contact;
 import martenslip.control.Controller.ListKind;
 import martenslip.control.Moment;
@@ -63,7 +64,7 @@
 
     Logic.Ask ask(Contact contact) {
         return new Logic.Ask(contact, logic.skills[contact.skill()], logic.at(101), true, at(9), 0, at(0),
-                java.util.Set.of());
+                Set.of());
     }
 
     /** What was ordered but for clocks, which is cleared. */
