SIP messages, transport and timer wheel: the ground of the call controller

The operators ask for the running controller. This brings the parser and writer of SIP messages with their bounds, UDP and TCP on blocking sockets with stated limits, and one timer wheel for a thread.

--- /dev/null
+++ b/src/main/java/martenslip/sip/message/Via.java
@@ -0,0 +1,50 @@
+package martenslip.sip.message;
+
+import java.util.Locale;
+
+/** One Via value (RFC 3261 20.42): transport in capitals, the place it was sent by, parameters. */
+public record Via(String transport, HostPort sentBy, Params params) {
+    /** Branches of RFC 3261 begin with this; others name no transaction of it (8.1.1.7). */
+    public static final String COOKIE = "z9hG4bK";
+
+    public static Via parse(String text) throws BadValue {
+        int space = -1;
+        int slashes = 0;
+        // Blanks may stand around each slash, so the transport ends at the first blank after the second one.
+        for (int i = 0; i < text.length() && space < 0; i++) {
+            char c = text.charAt(i);
+            slashes += c == '/' ? 1 : 0;
+            boolean inside = slashes == 2 && (c == ' ' || c == '\t') && text.charAt(i - 1) != '/'
+                    && !text.substring(text.lastIndexOf('/', i) + 1, i).isBlank();
+            space = inside ? i : -1;
+        }
+        if (space < 0) {
+            throw new BadValue("no protocol and place: " + text);
+        }
+        String[] protocol = text.substring(0, space).split("/");
+        if (protocol.length != 3 || !protocol[0].trim().equalsIgnoreCase("SIP")
+                || !protocol[1].trim().equals("2.0") || !Text.token(protocol[2].trim())) {
+            throw new BadValue("not SIP/2.0 over a transport: " + text);
+        }
+        String rest = text.substring(space).trim();
+        int semicolon = rest.indexOf(';');
+        HostPort by = HostPort.parse((semicolon < 0 ? rest : rest.substring(0, semicolon)).trim());
+        Params params = semicolon < 0 ? Params.NONE : Params.parse(rest.substring(semicolon));
+        return new Via(protocol[2].trim().toUpperCase(Locale.ROOT), by, params);
+    }
+
+    /** The branch, or an empty text where there is none. */
+    public String branch() {
+        String branch = params.get("branch");
+        return branch == null ? "" : branch;
+    }
+
+    public Via with(String name, String value) {
+        return new Via(transport, sentBy, params.with(name, value));
+    }
+
+    @Override
+    public String toString() {
+        return "SIP/2.0/" + transport + " " + sentBy + params;
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transport/Drops.java
@@ -0,0 +1,22 @@
+package martenslip.sip.transport;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts of what could not be answered or taken, by cause. Any thread may count and read. */
+public final class Drops {
+    /** Causes are phrases of the program, never of a message, so their number is bounded. */
+    private final ConcurrentHashMap<String, LongAdder> causes = new ConcurrentHashMap<>();
+
+    public void count(String cause) {
+        causes.computeIfAbsent(cause, any -> new LongAdder()).increment();
+    }
+
+    public Map<String, Long> counts() {
+        Map<String, Long> all = new TreeMap<>();
+        causes.forEach((cause, count) -> all.put(cause, count.sum()));
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transport/Framer.java
@@ -0,0 +1,130 @@
+package martenslip.sip.transport;
+
+import java.util.Arrays;
+import martenslip.sip.message.Parser;
+
+/**
+ * Cuts a stream into messages by Content-Length (RFC 3261 18.3, 20.14). Several messages in one read and one in
+ * many reads are all the same to it. Without a length, or past a bound, a stream has no further message ends.
+ */
+final class Framer {
+    /** A stream that can't be cut any further. */
+    static final class Lost extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Lost(String what) {
+            super(what, null, false, false);
+        }
+    }
+
+    private byte[] held = new byte[4096];
+    private int length;
+    private int looked;
+    private int head = -1;
+    private int body;
+
+    /** Room to read into; at least one byte. */
+    byte[] room() {
+        if (length == held.length) {
+            held = Arrays.copyOf(held, Math.min(2 * held.length, Parser.MOST_BYTES + 4096));
+        }
+        return held;
+    }
+
+    int at() {
+        return length;
+    }
+
+    void took(int bytes) {
+        length += bytes;
+    }
+
+    /** True while a message has begun and not ended. */
+    boolean amid() {
+        return length > 0;
+    }
+
+    /** The next whole message, or null where more must be read. */
+    byte[] next() throws Lost {
+        if (head < 0) {
+            skipBlank();
+            head = headEnd();
+            if (head < 0) {
+                if (length >= Parser.MOST_BYTES) {
+                    throw new Lost("headers over " + Parser.MOST_BYTES + " bytes");
+                }
+                return null;
+            }
+            body = contentLength();
+        }
+        int whole = head + body;
+        if (whole > Parser.MOST_BYTES) {
+            throw new Lost("message over " + Parser.MOST_BYTES + " bytes");
+        }
+        if (length < whole) {
+            return null;
+        }
+        byte[] message = Arrays.copyOf(held, whole);
+        System.arraycopy(held, whole, held, 0, length - whole);
+        length -= whole;
+        looked = 0;
+        head = -1;
+        return message;
+    }
+
+    /** Blank lines before a message are keep-alives (RFC 3261 7.5, RFC 5626 3.5.1). */
+    private void skipBlank() {
+        int blank = 0;
+        while (blank < length && (held[blank] == '\r' || held[blank] == '\n')) {
+            blank++;
+        }
+        if (blank > 0) {
+            System.arraycopy(held, blank, held, 0, length - blank);
+            length -= blank;
+            looked = 0;
+        }
+    }
+
+    private int headEnd() {
+        for (int i = Math.max(looked, 3); i < length; i++) {
+            if (held[i] == '\n' && held[i - 1] == '\r' && held[i - 2] == '\n' && held[i - 3] == '\r') {
+                return i + 1;
+            }
+        }
+        looked = Math.max(0, length - 3);
+        return -1;
+    }
+
+    private int contentLength() throws Lost {
+        int start = 0;
+        for (int i = 0; i < head; i++) {
+            if (held[i] != '\n') {
+                continue;
+            }
+            int value = named(start, i);
+            if (value >= 0) {
+                return value;
+            }
+            start = i + 1;
+        }
+        throw new Lost("a message on a stream without Content-Length");
+    }
+
+    private int named(int start, int end) throws Lost {
+        int colon = start;
+        while (colon < end && held[colon] != ':') {
+            colon++;
+        }
+        String name = colon - start > 20 ? "" : new String(held, start, colon - start,
+                java.nio.charset.StandardCharsets.ISO_8859_1).trim();
+        if (!name.equalsIgnoreCase("Content-Length") && !name.equalsIgnoreCase("l")) {
+            return -1;
+        }
+        String text = new String(held, colon + 1, Math.max(0, end - colon - 1),
+                java.nio.charset.StandardCharsets.ISO_8859_1).trim();
+        if (text.isEmpty() || text.length() > 9 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw new Lost("a Content-Length that is no number");
+        }
+        return Integer.parseInt(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transport/Sink.java
@@ -0,0 +1,10 @@
+package martenslip.sip.transport;
+
+/** Takes what arrives. Called by reading threads, several at a time. */
+public interface Sink {
+    /** Takes it at once, or says no where there is no room: a datagram is then lost, as a network would do it. */
+    boolean offer(Arrival arrival);
+
+    /** Waits for room: a connection whose reader waits here is not read further. */
+    void put(Arrival arrival) throws InterruptedException;
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -0,0 +1,291 @@
+package martenslip.sip.transport;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.Message;
+import martenslip.sip.message.Parsed;
+import martenslip.sip.message.Parser;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Via;
+
+/**
+ * Sockets of one endpoint: at most one UDP socket and one TCP listener, with connections to and from others
+ * (RFC 3261 18). Blocking, one thread for the datagrams, one that accepts, two a connection. {@link #send} may
+ * be called by any thread; it never blocks on a peer.
+ */
+public final class Transport implements AutoCloseable {
+    private static final int STACK = 256 * 1024;
+    private static final int BUFFER = 4 << 20;
+
+    private final String name;
+    private final Bounds bounds;
+    private final Sink sink;
+    private final Gate gate;
+    private final Drops drops = new Drops();
+    private final AtomicLong numbers = new AtomicLong();
+    private final Map<Long, Connection> connections = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, Connection> byPeer = new ConcurrentHashMap<>();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private DatagramSocket udp;
+    private ServerSocket tcp;
+    private volatile boolean closing;
+
+    public Transport(String name, Bounds bounds, Sink sink, Gate gate) {
+        this.name = name;
+        this.bounds = bounds;
+        this.sink = sink;
+        this.gate = gate;
+    }
+
+    public Drops drops() {
+        return drops;
+    }
+
+    /** Opens the datagram socket; port 0 takes any. The port that was taken is returned. */
+    public int openUdp(InetSocketAddress at) throws IOException {
+        udp = new DatagramSocket(at);
+        udp.setReceiveBufferSize(BUFFER);
+        udp.setSendBufferSize(BUFFER);
+        open.add(udp);
+        new Thread(null, this::readDatagrams, name + "-udp", STACK).start();
+        return udp.getLocalPort();
+    }
+
+    /** Opens the listener; port 0 takes any. The port that was taken is returned. */
+    public int openTcp(InetSocketAddress at) throws IOException {
+        tcp = new ServerSocket();
+        tcp.setReuseAddress(true);
+        tcp.bind(at, 128);
+        open.add(tcp);
+        new Thread(null, this::accept, name + "-tcp", STACK).start();
+        return tcp.getLocalPort();
+    }
+
+    public boolean has(Hop.Kind kind) {
+        return kind == Hop.Kind.UDP ? udp != null : tcp != null;
+    }
+
+    public int port(Hop.Kind kind) {
+        return kind == Hop.Kind.UDP ? udp.getLocalPort() : tcp.getLocalPort();
+    }
+
+    public String host() {
+        String host = (udp != null ? udp.getLocalAddress() : tcp.getInetAddress()).getHostAddress();
+        return host.indexOf(':') < 0 ? host : "[" + host + "]";
+    }
+
+    /** Sends a whole message. False where it is known not to go; later trouble comes as {@link Arrival.Broken}. */
+    public boolean send(byte[] bytes, Hop to) {
+        if (to.kind() == Hop.Kind.UDP) {
+            if (udp == null || bytes.length > Parser.MOST_BYTES) {
+                drops.count("datagram not sendable");
+                return false;
+            }
+            gate.out(udp.getLocalPort(), to, bytes, held -> datagram(held, to));
+            return true;
+        }
+        Connection connection = connection(to);
+        if (connection == null) {
+            drops.count("no connection to be had");
+            return false;
+        }
+        gate.out(tcp == null ? connection.localPort() : tcp.getLocalPort(), connection.hop(), bytes, held -> {
+            if (!connection.send(held)) {
+                drops.count("connection over");
+            }
+        });
+        return true;
+    }
+
+    private void datagram(byte[] bytes, Hop to) {
+        try {
+            udp.send(new DatagramPacket(bytes, bytes.length, to.address()));
+        } catch (IOException e) {
+            drops.count("datagram not sent");
+        }
+    }
+
+    private Connection connection(Hop to) {
+        Connection known = to.connection() != 0 ? connections.get(to.connection()) : null;
+        if (known != null) {
+            return known;
+        }
+        if (to.connection() != 0 && to.address() == null || closing) {
+            return null;
+        }
+        Connection same = byPeer.get(to.address());
+        if (same != null) {
+            return same;
+        }
+        if (connections.size() >= bounds.connections()) {
+            return null;
+        }
+        return add(new Socket(), to.address(), false);
+    }
+
+    private synchronized Connection add(Socket socket, InetSocketAddress peer, boolean up) {
+        Connection same = byPeer.get(peer);
+        if (same != null && !up) {
+            return same;
+        }
+        Connection added = new Connection(numbers.incrementAndGet(), socket, peer, up, bounds, events);
+        connections.put(added.number, added);
+        byPeer.put(peer, added);
+        added.start(name);
+        return added;
+    }
+
+    private final Connection.Events events = new Connection.Events() {
+        @Override
+        public void whole(Connection connection, byte[] message) throws InterruptedException {
+            Hop from = connection.hop();
+            int port = tcp == null ? connection.localPort() : tcp.getLocalPort();
+            gate.in(port, from, message, held -> {
+                Arrival arrival = arrival(held, held.length, from);
+                if (arrival != null) {
+                    putOrEnd(arrival);
+                }
+            });
+        }
+
+        @Override
+        public void ended(Connection connection, String why) {
+            connections.remove(connection.number, connection);
+            byPeer.remove(connection.hop().address(), connection);
+            if (!closing) {
+                putOrEnd(new Arrival.Broken(connection.hop(), connection.everUp(), why));
+            }
+        }
+    };
+
+    private void putOrEnd(Arrival arrival) {
+        try {
+            sink.put(arrival);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void readDatagrams() {
+        byte[] room = new byte[Parser.MOST_BYTES + 1];
+        DatagramPacket packet = new DatagramPacket(room, room.length);
+        while (!closing) {
+            try {
+                packet.setLength(room.length);
+                udp.receive(packet);
+                Hop from = Hop.udp((InetSocketAddress) packet.getSocketAddress());
+                if (gate == Gate.OPEN) {
+                    offer(room, packet.getLength(), from);
+                } else {
+                    byte[] bytes = java.util.Arrays.copyOf(room, packet.getLength());
+                    gate.in(udp.getLocalPort(), from, bytes, held -> offer(held, held.length, from));
+                }
+            } catch (SocketException e) {
+                drops.count(closing ? "closed" : "datagram socket fault");
+                if (udp.isClosed()) {
+                    return;
+                }
+            } catch (IOException | RuntimeException e) {
+                // Nothing that arrives ends the thread that reads for all.
+                drops.count("datagram read fault");
+            }
+        }
+    }
+
+    private void offer(byte[] bytes, int length, Hop from) {
+        Arrival arrival = arrival(bytes, length, from);
+        if (arrival != null && !sink.offer(arrival)) {
+            drops.count("inbox full");
+        }
+    }
+
+    private void accept() {
+        while (!closing) {
+            try {
+                Socket socket = tcp.accept();
+                if (connections.size() >= bounds.connections()) {
+                    drops.count("too many connections");
+                    socket.close();
+                    continue;
+                }
+                socket.setTcpNoDelay(true);
+                add(socket, (InetSocketAddress) socket.getRemoteSocketAddress(), true);
+            } catch (IOException e) {
+                if (tcp.isClosed()) {
+                    return;
+                }
+                drops.count("accept fault");
+            }
+        }
+    }
+
+    /** Parses and notes where a request came from (RFC 3261 18.2.1, RFC 3581 4). Null where it can't be used. */
+    private Arrival arrival(byte[] bytes, int length, Hop from) {
+        Parsed parsed = Parser.datagram(bytes, length);
+        Message message = parsed.message();
+        if (message instanceof Request request) {
+            stamp(request, from);
+        }
+        if (parsed.good()) {
+            return new Arrival.Received(message, from);
+        }
+        if (parsed.answerable()) {
+            return new Arrival.Wrong((Request) message, parsed.status(), parsed.fault(), from);
+        }
+        boolean blank = length < 5;
+        drops.count(blank ? "keep-alive" : "unusable message");
+        return null;
+    }
+
+    private static void stamp(Request request, Hop from) {
+        try {
+            Via via = request.via();
+            String host = from.address().getAddress().getHostAddress();
+            boolean rport = via.params().has("rport");
+            if (rport) {
+                via = via.with("rport", Integer.toString(from.address().getPort()));
+            }
+            if (rport || !via.sentBy().bare().equals(host)) {
+                request.headers().set("Via", via.with("received", host));
+            }
+        } catch (BadValue e) {
+            // Without a Via that can be read there is nobody to answer; the parser has told so.
+            return;
+        }
+    }
+
+    /** Breaks all connections with a reset, for stand-ins. The number broken is returned. */
+    public int resetAll() {
+        List<Connection> all = new ArrayList<>(connections.values());
+        all.forEach(Connection::reset);
+        return all.size();
+    }
+
+    public int connections() {
+        return connections.size();
+    }
+
+    @Override
+    public void close() {
+        closing = true;
+        for (AutoCloseable one : open) {
+            try {
+                one.close();
+            } catch (Exception e) {
+                drops.count("close fault");
+            }
+        }
+        new ArrayList<>(connections.values()).forEach(one -> one.close("closing"));
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/wheel/Wheel.java
@@ -0,0 +1,125 @@
+package martenslip.wheel;
+
+import martenslip.control.Moment;
+import martenslip.control.Span;
+
+/**
+ * The time of one thread and all its timers: a wheel of slots, each {@link #TICK} wide. Setting and taking back
+ * cost the same whatever the number of timers; a timer rings up to one tick late and never early. A span longer
+ * than one turn of the wheel stays in its slot until its turn has come. One thread owns it.
+ *
+ * <p>Invariant: a timer that is set stands in the slot of its due tick, and {@code next} is the first tick whose
+ * slot has not been emptied. A timer due in the past goes to the slot {@code next}, as an emptied slot is not
+ * looked at again for a whole turn.
+ */
+public final class Wheel {
+    /** Resolution: the shortest timer of RFC 3261 is 500 ms, but processors of stand-ins work in milliseconds. */
+    public static final Span TICK = Span.ofMillis(1);
+    private static final int SLOTS = 4096;
+    private static final int LOOK = 50;
+
+    /** One timer; it stands in at most one slot. */
+    public static final class Timer {
+        private final Runnable what;
+        private Timer before;
+        private Timer after;
+        private long tick;
+
+        private Timer(Runnable what) {
+            this.what = what;
+        }
+
+        /** True from the setting until it rings or is taken back. */
+        public boolean set() {
+            return before != null;
+        }
+
+        /** Takes it back; nothing happens where it has rung already. */
+        public void cancel() {
+            if (before != null) {
+                before.after = after;
+                after.before = before;
+                before = null;
+                after = null;
+            }
+        }
+
+        private void link(Timer head) {
+            before = head.before;
+            after = head;
+            head.before.after = this;
+            head.before = this;
+        }
+    }
+
+    private final Timer[] slots = new Timer[SLOTS];
+    private long next;
+    private Moment now;
+
+    public Wheel(Moment now) {
+        for (int i = 0; i < SLOTS; i++) {
+            slots[i] = new Timer(null);
+            slots[i].before = slots[i];
+            slots[i].after = slots[i];
+        }
+        this.now = now;
+        next = now.ns() / TICK.ns();
+    }
+
+    /** The moment of the turn in progress; it stands still until the next {@link #turn}. */
+    public Moment now() {
+        return now;
+    }
+
+    /** Rings {@code what} at {@code when} or up to a tick later. */
+    public Timer at(Moment when, Runnable what) {
+        Timer timer = new Timer(what);
+        timer.tick = Math.max(next, Math.floorDiv(when.ns() + TICK.ns() - 1, TICK.ns()));
+        timer.link(slots[(int) (timer.tick % SLOTS)]);
+        return timer;
+    }
+
+    public Timer after(Span span, Runnable what) {
+        return at(now.plus(span), what);
+    }
+
+    /** Begins a turn: time goes on to {@code moment} and all that are due ring, in the order of their ticks. */
+    public void turn(Moment moment) {
+        now = moment;
+        long last = now.ns() / TICK.ns();
+        // After a pause of over a turn each slot needs one look only.
+        long from = Math.max(next, last - SLOTS + 1);
+        for (long tick = from; tick <= last; tick++) {
+            next = tick;
+            empty(slots[(int) (tick % SLOTS)], last);
+        }
+        next = Math.max(next, last + 1);
+    }
+
+    /** How long nothing will ring, as far as a short look ahead shows. */
+    public Span quiet() {
+        int free = 0;
+        while (free < LOOK) {
+            Timer head = slots[(int) ((next + free) % SLOTS)];
+            if (head.after != head) {
+                break;
+            }
+            free++;
+        }
+        return new Span((next + free) * TICK.ns()).minus(new Span(now.ns())).least(Span.ZERO);
+    }
+
+    private void empty(Timer head, long last) {
+        Timer timer = head.after;
+        while (timer != head) {
+            Timer following = timer.after;
+            if (timer.tick <= last) {
+                timer.cancel();
+                timer.what.run();
+                // What rang may have taken the following one back, so the slot is read from its start again.
+                following = head.after;
+            }
+            timer = following;
+        }
+    }
+}
