--- /dev/null
+++ b/src/main/java/martenslip/cli/CheckCommand.java
@@ -0,0 +1,34 @@
+package martenslip.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import martenslip.provision.Rejected;
+import martenslip.provision.Site;
+import martenslip.provision.SiteFile;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Checks an exchange's file without running it. */
+@Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Checks an exchange's XML file; says line, path and reason of what is wrong.")
+final class CheckCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE")
+    private Path file;
+
+    @Override
+    public Integer call() {
+        try {
+            Site site = SiteFile.read(file);
+            System.out.println("exchange " + site.number() + ": " + site.groups().size() + " groups, "
+                    + site.skills().size() + " skills, " + site.peers().size() + " peers");
+            return 0;
+        } catch (Rejected e) {
+            System.err.println(e.getMessage());
+            return 1;
+        } catch (IOException e) {
+            System.err.println("martenslip: " + file + " can't be read: " + e);
+            return 2;
+        }
+    }
+}
--- a/src/main/java/martenslip/cli/Main.java
+++ b/src/main/java/martenslip/cli/Main.java
@@ -1,22 +1,26 @@
 package martenslip.cli;
 
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import martenslip.Logic;
 import martenslip.drill.Drill;
 import martenslip.drill.MalformedWire;
 
-/** The command line. */
+/** The way in. The drill's CPU is billed, so it is reached before any library is. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: martenslip drill    decide for the wire on standard input and output");
-            System.exit(2);
+        if (args.length == 1 && args[0].equals("drill")) {
+            drill();
+        } else {
+            System.exit(Program.run(args));
         }
+    }
+
+    private static void drill() {
         try (FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
             new Drill(System.in, out, Logic::new).run();
         } catch (MalformedWire | IOException e) {
--- /dev/null
+++ b/src/main/java/martenslip/cli/PlayCommand.java
@@ -0,0 +1,41 @@
+package martenslip.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import martenslip.play.Day;
+import martenslip.play.Play;
+import martenslip.provision.Rejected;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays a day on loopback sockets and proves the rules from its capture. */
+@Command(name = "play", mixinStandardHelpOptions = true,
+        description = "Plays a day file over loopback sockets, prints a table and proves the rules.")
+final class PlayCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "DAY")
+    private Path file;
+
+    @Option(names = "--into", paramLabel = "FOLDER", description = "Where capture, files and logs go "
+            + "(default: target/play/NAME).")
+    private Path into;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        try {
+            Day day = Day.read(file);
+            Path folder = into != null ? into : Path.of("target", "play", day.name());
+            boolean kept = new Play(day, folder, System.out).run();
+            // Stand-ins' readers may still wait on sockets; what was to be said is said.
+            System.out.flush();
+            return kept ? 0 : 1;
+        } catch (Rejected e) {
+            System.err.println(e.getMessage());
+            return 1;
+        } catch (IOException e) {
+            System.err.println("martenslip: " + e);
+            return 2;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/cli/ProveCommand.java
@@ -0,0 +1,26 @@
+package martenslip.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import martenslip.play.Play;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Proves the rules from a capture. */
+@Command(name = "prove", mixinStandardHelpOptions = true,
+        description = "Judges the five rules from a capture; exit code 1 where one is broken.")
+final class ProveCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "CAPTURE")
+    private Path file;
+
+    @Override
+    public Integer call() {
+        try {
+            return Play.prove(file, System.out) ? 0 : 1;
+        } catch (IOException e) {
+            System.err.println("martenslip: " + file + ": " + e.getMessage());
+            return 2;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/cli/RunCommand.java
@@ -0,0 +1,90 @@
+package martenslip.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import martenslip.Logic;
+import martenslip.control.Span;
+import martenslip.exchange.Exchange;
+import martenslip.provision.Rejected;
+import martenslip.provision.Site;
+import martenslip.provision.SiteFile;
+import martenslip.provision.Skill;
+import martenslip.sip.transport.Hop;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Runs one exchange until SIGTERM. */
+@Command(name = "run", mixinStandardHelpOptions = true,
+        description = "Runs one exchange's call controller. Prints a line 'ready URI' for each socket.")
+final class RunCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE")
+    private Path file;
+
+    @Option(names = "--figures", description = "Print the counts every so many seconds.", paramLabel = "SECONDS")
+    private int every;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        Site site;
+        try {
+            site = SiteFile.read(file);
+        } catch (Rejected e) {
+            System.err.println(e.getMessage());
+            return 1;
+        } catch (IOException e) {
+            System.err.println("martenslip: " + file + " can't be read: " + e);
+            return 2;
+        }
+        Exchange exchange = new Exchange(site, Logic::new);
+        try {
+            exchange.start();
+        } catch (IOException e) {
+            System.err.println("martenslip: can't listen as " + file + " says: " + e.getMessage());
+            exchange.close();
+            return 2;
+        }
+        for (Hop.Kind kind : Hop.Kind.values()) {
+            if (exchange.port(kind) >= 0) {
+                System.out.println("ready sip:" + exchange.host() + ":" + exchange.port(kind) + ";transport="
+                        + kind.name().toLowerCase(java.util.Locale.ROOT));
+            }
+        }
+        System.out.flush();
+        untilStopped(exchange, patience(site));
+        return 0;
+    }
+
+    private static Span patience(Site site) {
+        Span longest = Span.ZERO;
+        for (Skill skill : site.skills()) {
+            longest = longest.least(skill.patience());
+        }
+        return longest.plus(Span.ofMillis(500));
+    }
+
+    /** SIGTERM runs the hook, which lets the process end only once what is owed is answered. */
+    private void untilStopped(Exchange exchange, Span owed) throws InterruptedException {
+        CountDownLatch over = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                boolean all = exchange.drain(owed);
+                System.out.println("ended " + (all ? "in good order " : "with answers owed ") + exchange.figures());
+                System.out.flush();
+                exchange.close();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                over.countDown();
+            }
+        }));
+        while (!over.await(every > 0 ? every : 3600, java.util.concurrent.TimeUnit.SECONDS)) {
+            if (every > 0) {
+                System.out.println("figures " + exchange.figures());
+                System.out.flush();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/proof/Drains.java
@@ -0,0 +1,75 @@
+package martenslip.proof;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.provision.Node;
+import martenslip.provision.Rejected;
+import martenslip.provision.Sheet;
+import martenslip.sip.message.Request;
+
+/** Rule 3: nothing new to a switch once the grace has passed since its controller was told that it drains or is gone. */
+final class Drains {
+    private static final Sheet SHEET = Sheet.of("switches.xsd");
+
+    private record Told(boolean ready, long version, Moment at) { }
+
+    private final Map<String, Told> told = new HashMap<>();
+    private final Map<Integer, Long> whole = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private Span grace = Span.ofMillis(2000);
+    private long judged;
+
+    void grace(Span span) {
+        grace = span;
+    }
+
+    /** A list notice on its way to the controller. Wires may bring an older one later, which tells nothing new. */
+    void told(Moment at, int controller, byte[] body) {
+        Node root;
+        try {
+            root = SHEET.read("NOTIFY", body);
+        } catch (Rejected e) {
+            return;
+        }
+        if (!root.name().equals("switches")) {
+            return;
+        }
+        long version = Long.parseLong(root.text("version"));
+        for (Node line : root.children()) {
+            String address = line.text("uri").replaceFirst("^sip:", "").replaceFirst(";.*", "");
+            boolean ready = line.text("state").equals("ready");
+            Told before = told.get(controller + " " + address);
+            if (before == null || before.version < version && before.ready != ready) {
+                told.put(controller + " " + address, new Told(ready, version, at));
+            }
+        }
+        if (root.text("extent").equals("full") && version >= whole.getOrDefault(controller, 0L)) {
+            whole.put(controller, version);
+        }
+    }
+
+    void sent(Moment at, int controller, Request invite, String to) {
+        Told last = told.get(controller + " " + to);
+        if (last == null || last.ready) {
+            return;
+        }
+        judged++;
+        if (at.since(last.at).longerThan(grace)) {
+            broken.add("controller " + controller + ": ring to " + to + " " + at.since(last.at).ns() / 1_000_000
+                    + " ms after it was told, Call-ID " + invite.callId());
+        }
+    }
+
+    /** What a killed controller was told is gone with it, but for the list it keeps on disk. */
+    void killed(int controller) {
+        told.keySet().removeIf(key -> key.startsWith(controller + " "));
+    }
+
+    Verdict verdict() {
+        return new Verdict(3, "drains kept", judged, broken);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/proof/FinalAnswers.java
@@ -0,0 +1,108 @@
+package martenslip.proof;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+
+/** Rule 1, first half: each contact that reached a running controller gets one final answer in its patience. */
+final class FinalAnswers {
+    /** As the bench allows past the client's own time. */
+    private static final Span SLACK = Span.ofMillis(20);
+
+    private static final class Asked {
+        final Moment at;
+        final int controller;
+        final Span patience;
+        final String session;
+        String answer;
+        boolean second;
+        Moment answeredAt;
+
+        Asked(Moment at, int controller, Span patience, String session) {
+            this.at = at;
+            this.controller = controller;
+            this.patience = patience;
+            this.session = session;
+        }
+    }
+
+    private final Map<String, Asked> asked = new LinkedHashMap<>();
+    private final Map<Integer, List<Moment>> kills = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private Moment last = new Moment(0);
+
+    void taken(Moment at, int controller, Request invite) throws BadValue {
+        last = at;
+        String exact = invite.headers().first("Martenslip-Patience");
+        String whole = invite.headers().first("Expires");
+        Span patience = Span.ofMillis(exact != null ? Double.parseDouble(exact)
+                : whole != null ? Double.parseDouble(whole) * 1000 : 1e9);
+        asked.putIfAbsent(invite.via().branch(),
+                new Asked(at, controller, patience, String.valueOf(invite.headers().first("Session-ID"))));
+    }
+
+    void answered(Moment at, int controller, Response response) throws BadValue {
+        last = at;
+        Asked one = asked.get(response.via().branch());
+        if (one == null) {
+            broken.add("controller " + controller + ": answer to no contact, " + response.status() + " "
+                    + response.callId());
+            return;
+        }
+        String is = response.status() + " " + response.to().tag();
+        if (one.answer == null) {
+            one.answer = is;
+            one.answeredAt = at;
+        } else if (!one.answer.equals(is) && !one.second) {
+            one.second = true;
+            broken.add("contact " + one.session + " at controller " + controller + ": " + one.answer + ", then " + is
+                    + " after " + ms(at.since(one.at)) + " ms");
+        }
+    }
+
+    String session(int controller, Response response) throws BadValue {
+        Asked one = asked.get(response.via().branch());
+        return one == null ? "" : one.session;
+    }
+
+    void unreadable(Moment at, int controller, String why) {
+        broken.add("controller " + controller + ": a message that can't be read, " + why);
+    }
+
+    void killed(int controller, Moment at) {
+        kills.computeIfAbsent(controller, any -> new ArrayList<>()).add(at);
+    }
+
+    private boolean excused(Asked one) {
+        Moment due = one.at.plus(one.patience).plus(SLACK);
+        boolean killed = kills.getOrDefault(one.controller, List.of()).stream()
+                .anyMatch(kill -> !kill.before(one.at) && kill.before(due));
+        // What was still owed when the capture ended can't be judged.
+        return killed || last.before(due);
+    }
+
+    Verdict verdict() {
+        for (Asked one : asked.values()) {
+            if (one.answer == null && !excused(one)) {
+                broken.add("contact " + one.session + " at controller " + one.controller + ": no final answer within "
+                        + ms(one.patience) + " ms of " + one.at.ns());
+            } else if (one.answer != null
+                    && one.answeredAt.since(one.at).longerThan(one.patience.plus(SLACK))) {
+                broken.add("contact " + one.session + " at controller " + one.controller + ": " + one.answer
+                        + " after " + ms(one.answeredAt.since(one.at)) + " ms, patience " + ms(one.patience));
+            }
+        }
+        return new Verdict(1, "one final answer in time", asked.size(), broken);
+    }
+
+    private static String ms(Span span) {
+        return Long.toString(span.ns() / 1_000_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/provision/Prefixes.java
@@ -0,0 +1,28 @@
+package martenslip.provision;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Numbers to exchanges by the longest prefix that was given. Immutable once built. */
+public final class Prefixes {
+    private final Map<String, Integer> exchanges = new HashMap<>();
+    private int longest;
+
+    /** False where the prefix leads elsewhere already. */
+    public boolean add(String digits, int exchange) {
+        longest = Math.max(longest, digits.length());
+        Integer before = exchanges.putIfAbsent(digits, exchange);
+        return before == null || before == exchange;
+    }
+
+    /** The exchange where the number ends, or -1. */
+    public int exchange(String number) {
+        for (int length = Math.min(longest, number.length()); length > 0; length--) {
+            Integer exchange = exchanges.get(number.substring(0, length));
+            if (exchange != null) {
+                return exchange;
+            }
+        }
+        return -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/provision/Sheet.java
@@ -0,0 +1,166 @@
+package martenslip.provision;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.ParserConfigurationException;
+import javax.xml.parsers.SAXParserFactory;
+import javax.xml.transform.stream.StreamSource;
+import javax.xml.validation.Schema;
+import javax.xml.validation.SchemaFactory;
+import javax.xml.validation.ValidatorHandler;
+import org.xml.sax.Attributes;
+import org.xml.sax.InputSource;
+import org.xml.sax.Locator;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+import org.xml.sax.XMLReader;
+import org.xml.sax.helpers.DefaultHandler;
+
+/**
+ * Reads an XML file against a schema, whole or not at all. Document types are not read, so neither are entities,
+ * inner or outer ones. Each call has a parser of its own: any thread may call.
+ */
+public final class Sheet {
+    private static final int MOST_FAULTS = 20;
+    private static final int MOST_BYTES = 16 << 20;
+
+    private final String name;
+    private final Schema schema;
+    /** Looking a factory up costs more than reading a short text with it. */
+    private final SAXParserFactory parsers = SAXParserFactory.newInstance();
+
+    private Sheet(String name, Schema schema) {
+        this.name = name;
+        this.schema = schema;
+        try {
+            parsers.setNamespaceAware(true);
+            parsers.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
+            parsers.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+        } catch (ParserConfigurationException | SAXException e) {
+            throw new IllegalStateException(name, e);
+        }
+    }
+
+    /** A reader for the schema that stands in the program under this name. */
+    public static Sheet of(String resource) {
+        try (InputStream in = Sheet.class.getResourceAsStream("/martenslip/" + resource)) {
+            SchemaFactory factory = SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI);
+            factory.setProperty(XMLConstants.ACCESS_EXTERNAL_DTD, "");
+            factory.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
+            return new Sheet(resource, factory.newSchema(new StreamSource(in)));
+        } catch (IOException | SAXException e) {
+            throw new IllegalStateException("schema " + resource, e);
+        }
+    }
+
+    public Node read(Path file) throws IOException, Rejected {
+        if (Files.size(file) > MOST_BYTES) {
+            throw new Rejected(file.toString(), List.of(new Fault(0, "/", "over " + MOST_BYTES + " bytes")));
+        }
+        return read(file.toString(), Files.readAllBytes(file));
+    }
+
+    /** {@code what} names the text in errors. */
+    public Node read(String what, byte[] bytes) throws Rejected {
+        Builder builder = new Builder();
+        ValidatorHandler validator = schema.newValidatorHandler();
+        validator.setContentHandler(builder);
+        validator.setErrorHandler(builder);
+        try {
+            XMLReader reader = reader();
+            reader.setContentHandler(validator);
+            reader.setErrorHandler(builder);
+            reader.parse(new InputSource(new java.io.ByteArrayInputStream(bytes)));
+        } catch (SAXParseException e) {
+            builder.note(e);
+        } catch (SAXException e) {
+            builder.faults.add(new Fault(0, builder.path(), String.valueOf(e.getMessage())));
+        } catch (IOException e) {
+            builder.faults.add(new Fault(0, builder.path(), "unreadable text: " + e.getMessage()));
+        } catch (ParserConfigurationException e) {
+            throw new IllegalStateException(name, e);
+        }
+        if (!builder.faults.isEmpty()) {
+            throw new Rejected(what, builder.faults);
+        }
+        return builder.root;
+    }
+
+    private synchronized XMLReader reader() throws ParserConfigurationException, SAXException {
+        return parsers.newSAXParser().getXMLReader();
+    }
+
+    private static final class Builder extends DefaultHandler {
+        private final Deque<Node> open = new ArrayDeque<>();
+        private final Deque<String> names = new ArrayDeque<>();
+        private final List<Fault> faults = new ArrayList<>();
+        private Locator locator;
+        private Node root;
+
+        @Override
+        public void setDocumentLocator(Locator at) {
+            locator = at;
+        }
+
+        @Override
+        public void startElement(String space, String local, String qualified, Attributes attributes) {
+            names.addLast(local);
+            Node node = new Node(local, path(), locator == null ? 0 : locator.getLineNumber());
+            for (int i = 0; i < attributes.getLength(); i++) {
+                node.put(attributes.getLocalName(i), attributes.getValue(i));
+            }
+            if (open.isEmpty()) {
+                root = node;
+            } else {
+                open.peek().add(node);
+            }
+            open.push(node);
+        }
+
+        @Override
+        public void characters(char[] from, int start, int length) {
+            if (!open.isEmpty()) {
+                open.peek().text(from, start, length);
+            }
+        }
+
+        @Override
+        public void endElement(String space, String local, String qualified) {
+            names.removeLast();
+            open.pop();
+        }
+
+        private String path() {
+            return "/" + String.join("/", names);
+        }
+
+        @Override
+        public void error(SAXParseException e) {
+            note(e);
+        }
+
+        @Override
+        public void fatalError(SAXParseException e) {
+            note(e);
+        }
+
+        private void note(SAXParseException e) {
+            Fault fault = new Fault(e.getLineNumber(), path(), plain(e.getMessage()));
+            if (faults.size() < MOST_FAULTS && !faults.contains(fault)) {
+                faults.add(fault);
+            }
+        }
+
+        /** Without the parser's own code in front, which says nothing to staff. */
+        private static String plain(String message) {
+            return message == null ? "not XML" : message.replaceFirst("^cvc-[A-Za-z0-9.\\-]+: ", "");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/provision/Site.java
@@ -0,0 +1,68 @@
+package martenslip.provision;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import martenslip.control.Span;
+import martenslip.sip.transport.Hop;
+
+/**
+ * One exchange as its file describes it, checked whole. {@code groups} and {@code peers} are by the number of
+ * the far exchange; {@code udp} and {@code tcp} are null where that listener is not wanted.
+ */
+public record Site(int number, int region, long seed, InetSocketAddress udp, InetSocketAddress tcp, Hop circuits,
+                   String circuitsUri, Hop list, String listUri, Path kept, List<String> regions,
+                   List<Skill> skills, int usual, Prefixes numbering, String trunkContext,
+                   Map<Integer, Group> groups, Limits limits, RuleFigures rules, List<String> reports,
+                   Map<Integer, Peer> peers) {
+    public record Group(String name, int far, int circuits) { }
+
+    public record Limits(int mostRings, int mostOpen, Span comeBack, Span silence) { }
+
+    public record RuleFigures(Span release, Span drainGrace, double coldShare, Span warmWithin, double fallMultiple,
+                              Span fall) { }
+
+    public record Peer(int exchange, String uri, Hop hop) { }
+
+    /** The module's plain map of names to values. {@code round} is how late a clock may be heard. */
+    public Map<String, String> settings(Span round) {
+        Map<String, String> map = new TreeMap<>();
+        map.put("classes.count", "" + skills.size());
+        for (int i = 0; i < skills.size(); i++) {
+            Skill skill = skills.get(i);
+            map.put("classes." + i + ".worth", "" + skill.value());
+            map.put("classes." + i + ".aim-ns", "" + skill.answerTarget().ns());
+            map.put("classes." + i + ".hard-limit-ns", "" + skill.patience().ns());
+        }
+        map.put("family-info.home-no", "" + number);
+        map.put("family-info.release-ns", "" + rules.release().ns());
+        map.put("family-info.mean-hold-ns", joined(skills.stream().map(skill -> skill.meanHold().ns()).toList()));
+        map.put("family-info.widths", joined(skills.stream().map(Skill::width).toList()));
+        map.put("guarantees.cold-share", "" + rules.coldShare());
+        map.put("guarantees.warm-within-ns", "" + rules.warmWithin().ns());
+        map.put("guarantees.fall-multiple", "" + rules.fallMultiple());
+        map.put("policy-limits.send-cap", "" + limits.mostRings());
+        map.put("policy-limits.cancel", "true");
+        map.put("policy-limits.peers", "" + !peers.isEmpty());
+        map.put("policy-limits.retry-after", "true");
+        map.put("policy-limits.max-retry-after-ns", "" + limits.comeBack().ns());
+        map.put("policy-limits.probes", "true");
+        map.put("report.fields", joined(reportFields()));
+        map.put("discovery", "subscribe");
+        map.put("round-ns", "" + round.ns());
+        return map;
+    }
+
+    /** The values of a load report in the module's order. */
+    public List<String> reportFields() {
+        List<String> fields = new java.util.ArrayList<>(List.of("spare", "total"));
+        fields.addAll(reports);
+        return fields;
+    }
+
+    private static String joined(List<?> values) {
+        return String.join(",", values.stream().map(String::valueOf).toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/signal/Fields.java
@@ -0,0 +1,12 @@
+package martenslip.signal;
+
+/** Header fields of the project's own, beside those of the RFCs. */
+public final class Fields {
+    /** What the caller has left, in milliseconds; Expires has whole seconds only. */
+    public static final String PATIENCE = "Martenslip-Patience";
+    /** {@code redial} or {@code cut} on a try that follows another. */
+    public static final String AGAIN = "Martenslip-Again";
+
+    private Fields() {
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/signal/SwitchText.java
@@ -0,0 +1,136 @@
+package martenslip.signal;
+
+import java.net.Inet4Address;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.OffsetDateTime;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.control.SwitchLine;
+import martenslip.provision.Node;
+import martenslip.provision.Rejected;
+import martenslip.provision.Sheet;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.SipUri;
+import martenslip.sip.transport.Hop;
+import martenslip.sip.transport.Hops;
+
+/** The XML bodies of the two event packages. A body that is wrong anywhere is refused whole. */
+public final class SwitchText {
+    public static final String SWITCHES = "martenslip-switches";
+    public static final String CIRCUITS = "martenslip-circuits";
+    public static final String TYPE = "application/martenslip+xml";
+    private static final Sheet SHEET = Sheet.of("switches.xsd");
+
+    public record Lines(long version, boolean full, List<Neighbour> lines) { }
+
+    public record GroupState(String name, int total, int free) { }
+
+    public record Groups(long version, boolean full, List<GroupState> groups) { }
+
+    private final List<String> regions;
+    private final Moment start;
+    private final Instant startWall;
+
+    /** Start times come as wall clock time; this pair of readings, taken once, places them on the thread's clock. */
+    public SwitchText(List<String> regions, Moment start, Instant startWall) {
+        this.regions = regions;
+        this.start = start;
+        this.startWall = startWall;
+    }
+
+    public Lines lines(byte[] body) throws Rejected, BadValue {
+        Node root = root(body, "switches");
+        List<Neighbour> lines = new ArrayList<>();
+        for (Node node : root.children()) {
+            SipUri uri = SipUri.parse(node.text("uri"));
+            Hop hop = Hops.of(uri);
+            SwitchLine.State state = switch (node.text("state")) {
+                case "ready" -> SwitchLine.State.READY;
+                case "draining" -> SwitchLine.State.DRAINING;
+                default -> SwitchLine.State.GONE;
+            };
+            Moment started = node.has("started") ? moment(node.text("started")) : null;
+            lines.add(new Neighbour(new SwitchLine(id(hop.address()), node.integer("number"), state, started,
+                    regions.indexOf(node.text("region"))), uri, hop));
+        }
+        return new Lines(Long.parseLong(root.text("version")), root.text("extent").equals("full"), lines);
+    }
+
+    public Groups groups(byte[] body) throws Rejected, BadValue {
+        Node root = root(body, "circuits");
+        List<GroupState> groups = new ArrayList<>();
+        for (Node node : root.children()) {
+            groups.add(new GroupState(node.text("name"), node.integer("total"), node.integer("free")));
+        }
+        return new Groups(Long.parseLong(root.text("version")), root.text("extent").equals("full"), groups);
+    }
+
+    private static Node root(byte[] body, String name) throws Rejected, BadValue {
+        Node root = SHEET.read("NOTIFY", body);
+        if (!root.name().equals(name)) {
+            throw new BadValue("a body of " + root.name() + " in place of " + name);
+        }
+        return root;
+    }
+
+    private Moment moment(String text) throws BadValue {
+        try {
+            Instant at = OffsetDateTime.parse(text).toInstant();
+            return start.plus(new Span(java.time.Duration.between(startWall, at).toNanos()));
+        } catch (DateTimeParseException | ArithmeticException e) {
+            throw new BadValue("no point in time: " + text);
+        }
+    }
+
+    /** Four bytes of address, then the port: as the module's ids of switches are everywhere. */
+    public static long id(InetSocketAddress at) throws BadValue {
+        if (!(at.getAddress() instanceof Inet4Address address)) {
+            throw new BadValue("a switch is known by an IPv4 address: " + at);
+        }
+        return Integer.toUnsignedLong(ByteBuffer.wrap(address.getAddress()).getInt()) << 16 | at.getPort();
+    }
+
+    public byte[] write(Lines lines) {
+        StringBuilder text = open("switches", lines.version(), lines.full());
+        for (Neighbour one : lines.lines()) {
+            SwitchLine line = one.line();
+            text.append("<switch uri=\"").append(escaped(one.uri().toString())).append("\" number=\"")
+                    .append(line.number()).append("\" region=\"").append(regionName(line.zone()))
+                    .append("\" state=\"").append(line.state().name().toLowerCase(Locale.ROOT)).append('"');
+            if (line.started() != null) {
+                text.append(" started=\"").append(startWall.plusNanos(line.started().since(start).ns())).append('"');
+            }
+            text.append("/>\n");
+        }
+        return text.append("</switches>\n").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private String regionName(int zone) {
+        return zone < 0 || zone >= regions.size() ? "-" : escaped(regions.get(zone));
+    }
+
+    public byte[] write(Groups groups) {
+        StringBuilder text = open("circuits", groups.version(), groups.full());
+        for (GroupState group : groups.groups()) {
+            text.append("<group name=\"").append(escaped(group.name())).append("\" total=\"").append(group.total())
+                    .append("\" free=\"").append(group.free()).append("\"/>\n");
+        }
+        return text.append("</circuits>\n").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static StringBuilder open(String name, long version, boolean full) {
+        return new StringBuilder("<").append(name).append(" xmlns=\"urn:martenslip:switches:1\" version=\"")
+                .append(version).append("\" extent=\"").append(full ? "full" : "partial").append("\">\n");
+    }
+
+    private static String escaped(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace("\"", "&quot;");
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/dialog/CallIn.java
@@ -0,0 +1,210 @@
+package martenslip.sip.dialog;
+
+import martenslip.control.Span;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.message.SipUri;
+import martenslip.sip.transaction.ServerTransaction;
+import martenslip.wheel.Wheel;
+
+/**
+ * The called side of an INVITE dialog (RFC 3261 13.3, 15). Exactly one final response leaves it: what comes
+ * after the first is refused with false. Owned by the thread of its {@link Calls}.
+ */
+public final class CallIn implements Leg {
+    enum State { OPEN, ACCEPTED, CONFIRMED, OVER }
+
+    /** Hears of the call; the moments are those of the thread's wheel. */
+    public interface Listener {
+        /** The caller took its INVITE back; 487 has been sent. */
+        void cancelled();
+
+        /** A call that stood ended from the far side; {@code bye} is null without one. */
+        void ended(Ending why, Request bye);
+    }
+
+    private final Calls calls;
+    private final ServerTransaction transaction;
+    private final Dialog dialog;
+    private final String tag;
+    private Listener listener;
+    private State state = State.OPEN;
+    private Response accepted;
+    private Span gap;
+    private Wheel.Timer repeat;
+    private Wheel.Timer giveUp;
+    private boolean byeWanted;
+    private String byeReason;
+
+    CallIn(Calls calls, ServerTransaction transaction, Dialog dialog) {
+        this.calls = calls;
+        this.transaction = transaction;
+        this.dialog = dialog;
+        tag = dialog.localTag();
+    }
+
+    public Request invite() {
+        return transaction.request();
+    }
+
+    public ServerTransaction transaction() {
+        return transaction;
+    }
+
+    public void listen(Listener one) {
+        listener = one;
+    }
+
+    /** A response with this dialog's tag, to be completed and sent. */
+    public Response response(int status, String reason) {
+        return invite().answer(status, reason, tag);
+    }
+
+    /** True while a final response is owed. */
+    public boolean open() {
+        return state == State.OPEN;
+    }
+
+    public boolean progress(Response response) {
+        if (response.status() > 100) {
+            response.headers().add("Contact", calls.contact(transaction.from().kind(), contactUser));
+        }
+        return state == State.OPEN && transaction.respond(response);
+    }
+
+    private String contactUser;
+
+    /** The user part that this side's Contact bears; without one it bears none. */
+    public void contactUser(String user) {
+        contactUser = user;
+    }
+
+    /** Sends a final response other than 2xx. */
+    public boolean refuse(Response response) {
+        if (state != State.OPEN) {
+            return false;
+        }
+        over();
+        return transaction.respond(response);
+    }
+
+    /** Sends a 2xx and repeats it until its ACK comes (RFC 3261 13.3.1.4). */
+    public boolean accept(Response response) {
+        if (state != State.OPEN) {
+            return false;
+        }
+        state = State.ACCEPTED;
+        response.headers().add("Contact", calls.contact(transaction.from().kind(), contactUser));
+        accepted = response;
+        transaction.respond(response);
+        gap = calls.timers().t1();
+        repeat = calls.wheel().after(gap, this::again);
+        giveUp = calls.wheel().after(calls.timers().whole(), this::unacknowledged);
+        return true;
+    }
+
+    private void again() {
+        if (state == State.ACCEPTED) {
+            transaction.respond(accepted);
+            gap = calls.timers().next(gap);
+            repeat = calls.wheel().after(gap, this::again);
+        }
+    }
+
+    private void unacknowledged() {
+        if (state == State.ACCEPTED) {
+            sendBye("SIP;cause=408;text=\"No ACK\"");
+            end(Ending.NO_ACK, null);
+        }
+    }
+
+    void acked() {
+        if (state == State.ACCEPTED) {
+            state = State.CONFIRMED;
+            stop();
+            if (byeWanted) {
+                sendBye(byeReason);
+                over();
+            }
+        }
+    }
+
+    void cancelled() {
+        if (state == State.OPEN) {
+            refuse(response(487, "Request Terminated"));
+            listener.cancelled();
+        }
+    }
+
+    @Override
+    public void requested(ServerTransaction next) throws BadValue {
+        Request request = next.request();
+        if (!dialog.follows(request.cseq().number())) {
+            next.respond(request.answer(500, "CSeq out of order", null));
+        } else if (!request.is("BYE")) {
+            calls.refuseInDialog(next);
+        } else {
+            next.respond(request.answer(200, "OK", null));
+            if (state == State.OPEN) {
+                // A BYE of an early dialog ends the INVITE too (RFC 3261 15.1.2).
+                refuse(response(487, "Request Terminated"));
+                listener.cancelled();
+            } else {
+                end(Ending.BYE, request);
+            }
+        }
+    }
+
+    /** Ends a call that stands. Before the ACK a called side may not say BYE, so it waits for it (RFC 3261 15). */
+    public void bye(String reason) {
+        if (state == State.CONFIRMED) {
+            sendBye(reason);
+            over();
+        } else if (state == State.ACCEPTED) {
+            byeWanted = true;
+            byeReason = reason;
+        }
+    }
+
+    private void sendBye(String reason) {
+        calls.sendBye(dialog, reason);
+    }
+
+    private void end(Ending why, Request bye) {
+        if (state != State.OVER) {
+            boolean told = byeWanted;
+            over();
+            if (!told) {
+                listener.ended(why, bye);
+            }
+        }
+    }
+
+    private void stop() {
+        if (repeat != null) {
+            repeat.cancel();
+            giveUp.cancel();
+        }
+    }
+
+    private void over() {
+        state = State.OVER;
+        stop();
+        calls.over(this, dialog.id());
+    }
+
+    /** The INVITE's To with the tag of this side, for logs. */
+    public String number() {
+        try {
+            SipUri uri = invite().target();
+            return uri.plainUser() == null ? "" : uri.plainUser();
+        } catch (BadValue e) {
+            return "";
+        }
+    }
+
+    String id() {
+        return dialog.id();
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/dialog/Dialog.java
@@ -0,0 +1,111 @@
+package martenslip.sip.dialog;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.Headers;
+import martenslip.sip.message.NameAddr;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.message.SipUri;
+import martenslip.sip.transport.Hop;
+import martenslip.sip.transport.Hops;
+
+/** The state that two user agents share (RFC 3261 12). Owned by the thread of its {@link Calls}. */
+public final class Dialog {
+    private final String callId;
+    private final String localTag;
+    private final String remoteTag;
+    private final String local;
+    private final String remote;
+    private final List<String> routes;
+    private String remoteTarget;
+    private long localNumber;
+    private long remoteNumber;
+
+    private Dialog(String callId, NameAddr local, NameAddr remote, List<String> routes, String remoteTarget,
+                   long localNumber, long remoteNumber) {
+        this.callId = callId;
+        this.localTag = local.tag();
+        this.remoteTag = remote.tag();
+        this.local = local.toString();
+        this.remote = remote.toString();
+        this.routes = routes;
+        this.remoteTarget = remoteTarget;
+        this.localNumber = localNumber;
+        this.remoteNumber = remoteNumber;
+    }
+
+    /** RFC 3261 12.1.1. */
+    public static Dialog asServer(Request request, String localTag) throws BadValue {
+        return new Dialog(request.callId(), request.to().withTag(localTag), request.from(),
+                request.headers().all("Record-Route"), contact(request.headers()), 0, request.cseq().number());
+    }
+
+    /** RFC 3261 12.1.2. */
+    public static Dialog asClient(Request request, Response response) throws BadValue {
+        List<String> routes = new ArrayList<>(response.headers().all("Record-Route"));
+        Collections.reverse(routes);
+        return new Dialog(request.callId(), request.from(), response.to(), routes, contact(response.headers()),
+                request.cseq().number(), -1);
+    }
+
+    private static String contact(Headers headers) throws BadValue {
+        String contact = headers.first("Contact");
+        if (contact == null) {
+            throw new BadValue("no Contact, so no dialog");
+        }
+        String uri = NameAddr.parse(contact).uri();
+        SipUri.parse(uri);
+        return uri;
+    }
+
+    /** Names the dialog as a request or response from the far side does. */
+    static String id(String callId, String localTag, String remoteTag) {
+        return callId + ' ' + localTag + ' ' + remoteTag;
+    }
+
+    String id() {
+        return id(callId, localTag, remoteTag);
+    }
+
+    public String remoteTag() {
+        return remoteTag;
+    }
+
+    public String localTag() {
+        return localTag;
+    }
+
+    /** True, and remembered, where a request of the far side follows the last in order (RFC 3261 12.2.2). */
+    boolean follows(long number) {
+        if (remoteNumber >= 0 && number <= remoteNumber) {
+            return false;
+        }
+        remoteNumber = number;
+        return true;
+    }
+
+    /** The next request of this side; an ACK bears the number of the INVITE that it is for. */
+    Request request(String method) {
+        return request(method, ++localNumber);
+    }
+
+    Request ack(long number) {
+        return request("ACK", number);
+    }
+
+    private Request request(String method, long number) {
+        Headers headers = new Headers();
+        routes.forEach(route -> headers.add("Route", route));
+        headers.add("Max-Forwards", "70").add("From", local).add("To", remote).add("Call-ID", callId);
+        headers.add("CSeq", number + " " + method);
+        return new Request(method, remoteTarget, headers);
+    }
+
+    /** Where requests of this dialog go: the first route, else the far side's contact (RFC 3261 12.2.1.1). */
+    Hop hop() throws BadValue {
+        return Hops.of(SipUri.parse(routes.isEmpty() ? remoteTarget : NameAddr.parse(routes.get(0)).uri()));
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transaction/Asker.java
@@ -0,0 +1,15 @@
+package martenslip.sip.transaction;
+
+import martenslip.sip.message.Response;
+
+/** Hears what becomes of a request that it sent. */
+public interface Asker {
+    /**
+     * A response; of the final ones other than 2xx to an INVITE only the first is handed up. A 2xx to an INVITE
+     * comes each time that it arrives, as each wants its own ACK (RFC 3261 13.2.2.4).
+     */
+    void answered(ClientTransaction transaction, Response response);
+
+    /** No final response will come. Called once at most, and not after a final response. */
+    void failed(ClientTransaction transaction, Failure why);
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transaction/ClientTransaction.java
@@ -0,0 +1,236 @@
+package martenslip.sip.transaction;
+
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.Headers;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.message.Via;
+import martenslip.sip.transport.Hop;
+import martenslip.wheel.Wheel;
+
+/**
+ * Client transactions: INVITE (RFC 3261 17.1.1, with the Accepted state of RFC 6026 7.2) and all others
+ * (17.1.2). Owned by the thread of its {@link Transactions}.
+ */
+public final class ClientTransaction {
+    public enum State { CALLING, PROCEEDING, COMPLETED, ACCEPTED, TERMINATED }
+
+    private final Transactions layer;
+    private final Request request;
+    private final Asker asker;
+    private final boolean invite;
+    private final Moment began;
+    private Hop hop;
+    private byte[] bytes;
+    private byte[] ack;
+    private State state = State.CALLING;
+    private Span gap;
+    private Wheel.Timer repeat;
+    private Wheel.Timer end;
+    private boolean mute;
+    /** It goes by TCP only as it is large. */
+    private boolean forSize;
+
+    ClientTransaction(Transactions layer, Request request, Hop hop, boolean forSize, Asker asker) {
+        this.layer = layer;
+        this.forSize = forSize;
+        this.request = request;
+        this.hop = hop;
+        this.asker = asker;
+        invite = request.is("INVITE");
+        gap = layer.timers.t1();
+        began = layer.wheel.now();
+    }
+
+    public Request request() {
+        return request;
+    }
+
+    /** Where the request went; a CANCEL goes the same way (RFC 3261 9.1). */
+    public Hop hop() {
+        return hop;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    public Moment began() {
+        return began;
+    }
+
+    String key() throws BadValue {
+        return Transactions.clientKey(request.via().branch(), request.method());
+    }
+
+    void start() {
+        bytes = request.bytes();
+        end = layer.wheel.after(layer.timers.whole(), () -> fail(Failure.TIMED_OUT));
+        if (!layer.out.send(bytes, hop)) {
+            // Told by the next turn of the wheel: whoever sent it is still amid its own call.
+            layer.wheel.at(layer.wheel.now(), () -> fail(Failure.NO_CONNECTION));
+        } else if (!hop.reliable()) {
+            repeat = layer.wheel.after(gap, this::again);
+        }
+    }
+
+    /** Timers A and E. */
+    private void again() {
+        boolean due = state == State.CALLING || state == State.PROCEEDING && !invite;
+        if (!due || mute) {
+            return;
+        }
+        layer.out.send(bytes, hop);
+        gap = invite ? gap.times(2) : state == State.PROCEEDING ? layer.timers.t2() : layer.timers.next(gap);
+        repeat = layer.wheel.after(gap, this::again);
+    }
+
+    /**
+     * Sends no repeats any more, where the asker has given it up before any response came: nothing of it is to
+     * go out after that, but a late response is still met as it should be.
+     */
+    public void hush() {
+        mute = true;
+    }
+
+    /** After a CANCEL: without a final response it ends when timer B would have passed (RFC 3261 9.1). */
+    public void endLater() {
+        if (state == State.CALLING || state == State.PROCEEDING) {
+            stop();
+            end = layer.wheel.after(layer.timers.whole(), () -> fail(Failure.TIMED_OUT));
+        }
+    }
+
+    void response(Response response) {
+        if (response.provisional()) {
+            if (state == State.CALLING || state == State.PROCEEDING) {
+                state = State.PROCEEDING;
+                if (invite) {
+                    // How long an INVITE may ring is its user's to say (RFC 3261 17.1.1.2: B ends here).
+                    stop();
+                }
+                asker.answered(this, response);
+            }
+            return;
+        }
+        if (invite) {
+            finalToInvite(response);
+        } else if (state != State.COMPLETED) {
+            state = State.COMPLETED;
+            linger(hop.reliable() ? Span.ZERO : layer.timers.t4());
+            asker.answered(this, response);
+        }
+    }
+
+    private void finalToInvite(Response response) {
+        if (response.success()) {
+            if (state == State.COMPLETED) {
+                return;
+            }
+            if (state != State.ACCEPTED) {
+                state = State.ACCEPTED;
+                linger(layer.timers.whole());
+            }
+            asker.answered(this, response);
+            return;
+        }
+        if (state == State.COMPLETED) {
+            layer.out.send(ack, hop);
+        } else if (state != State.ACCEPTED) {
+            state = State.COMPLETED;
+            ack = ackFor(response).bytes();
+            layer.out.send(ack, hop);
+            linger(hop.reliable() ? Span.ZERO : layer.timers.linger());
+            asker.answered(this, response);
+        }
+    }
+
+    private void linger(Span span) {
+        stop();
+        if (span.ns() == 0) {
+            terminate();
+        } else {
+            end = layer.wheel.after(span, this::terminate);
+        }
+    }
+
+    /** The ACK of a final response other than 2xx is part of the transaction (RFC 3261 17.1.1.3). */
+    private Request ackFor(Response response) {
+        Headers headers = new Headers();
+        headers.add("Via", request.headers().first("Via"));
+        headers.take(request.headers(), "Route");
+        headers.add("Max-Forwards", "70").add("From", request.headers().first("From"));
+        headers.add("To", response.headers().first("To")).add("Call-ID", request.callId());
+        headers.add("CSeq", number() + " ACK");
+        return new Request("ACK", request.uri(), headers);
+    }
+
+    /** A CANCEL for this INVITE: same branch, no tag added (RFC 3261 9.1). */
+    public Request cancel(String reason) {
+        Headers headers = new Headers();
+        headers.add("Via", request.headers().first("Via"));
+        headers.take(request.headers(), "Route");
+        headers.add("Max-Forwards", "70").add("From", request.headers().first("From"));
+        headers.add("To", request.headers().first("To")).add("Call-ID", request.callId());
+        headers.add("CSeq", number() + " CANCEL");
+        if (reason != null) {
+            headers.add("Reason", reason);
+        }
+        return new Request("CANCEL", request.uri(), headers);
+    }
+
+    private long number() {
+        try {
+            return request.cseq().number();
+        } catch (BadValue e) {
+            throw new IllegalStateException("a request of our own without CSeq", e);
+        }
+    }
+
+    void broken(boolean everUp, Hop which) {
+        boolean mine = hop.reliable() && (hop.connection() == 0 ? hop.address().equals(which.address())
+                : hop.connection() == which.connection());
+        if (!mine || state != State.CALLING && state != State.PROCEEDING) {
+            return;
+        }
+        if (!everUp && forSize) {
+            forSize = false;
+            layer.shrunk(this);
+            return;
+        }
+        fail(everUp ? Failure.BROKEN : Failure.NO_CONNECTION);
+    }
+
+    /** Back from TCP, which was taken for the size only, to UDP (RFC 3261 18.1.1). */
+    void overUdp(Via via, Hop udp) {
+        request.headers().set("Via", via);
+        hop = udp;
+        bytes = request.bytes();
+        layer.out.send(bytes, hop);
+        repeat = layer.wheel.after(gap, this::again);
+    }
+
+    void fail(Failure why) {
+        if (state == State.CALLING || state == State.PROCEEDING) {
+            terminate();
+            asker.failed(this, why);
+        }
+    }
+
+    private void stop() {
+        if (repeat != null) {
+            repeat.cancel();
+        }
+        if (end != null) {
+            end.cancel();
+        }
+    }
+
+    void terminate() {
+        stop();
+        state = State.TERMINATED;
+        layer.over(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transaction/ServerTransaction.java
@@ -0,0 +1,146 @@
+package martenslip.sip.transaction;
+
+import martenslip.control.Span;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.transport.Hop;
+import martenslip.wheel.Wheel;
+
+/**
+ * Server transactions: INVITE (RFC 3261 17.2.1, with the Accepted state of RFC 6026 7.1) and all others
+ * (17.2.2). Repeats of the request are met here and never reach the user. Owned by the thread of its
+ * {@link Transactions}.
+ */
+public final class ServerTransaction {
+    public enum State { TRYING, PROCEEDING, COMPLETED, CONFIRMED, ACCEPTED, TERMINATED }
+
+    private final Transactions layer;
+    private final Request request;
+    private final Hop from;
+    private final Hop back;
+    private final boolean invite;
+    final String key;
+    private State state;
+    private byte[] last;
+    private Span gap;
+    private Wheel.Timer repeat;
+    private Wheel.Timer end;
+    private Object user;
+
+    ServerTransaction(Transactions layer, String key, Request request, Hop from, Hop back) {
+        this.layer = layer;
+        this.key = key;
+        this.request = request;
+        this.from = from;
+        this.back = back;
+        invite = request.is("INVITE");
+        state = invite ? State.PROCEEDING : State.TRYING;
+        gap = layer.timers.t1();
+    }
+
+    public Request request() {
+        return request;
+    }
+
+    /** Where the request came from. */
+    public Hop from() {
+        return from;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** What the user ties to it, for the CANCEL that may come. */
+    public void attach(Object owner) {
+        user = owner;
+    }
+
+    public Object attached() {
+        return user;
+    }
+
+    /** Sends a response. A second final one, and any after the end, is not sent: false. */
+    public boolean respond(Response response) {
+        boolean open = state == State.TRYING || state == State.PROCEEDING;
+        boolean repeatOf200 = state == State.ACCEPTED && response.success();
+        if (!open && !repeatOf200) {
+            return false;
+        }
+        byte[] bytes = response.bytes();
+        layer.out.send(bytes, back);
+        if (response.provisional()) {
+            state = State.PROCEEDING;
+            last = bytes;
+        } else if (!invite) {
+            state = State.COMPLETED;
+            last = bytes;
+            linger(from.reliable() ? Span.ZERO : layer.timers.whole());
+        } else if (response.success()) {
+            if (state != State.ACCEPTED) {
+                state = State.ACCEPTED;
+                linger(layer.timers.whole());
+            }
+        } else {
+            state = State.COMPLETED;
+            last = bytes;
+            end = layer.wheel.after(layer.timers.whole(), this::terminate);
+            if (!from.reliable()) {
+                repeat = layer.wheel.after(gap, this::again);
+            }
+        }
+        return true;
+    }
+
+    /** Timer G. */
+    private void again() {
+        if (state == State.COMPLETED) {
+            layer.out.send(last, back);
+            gap = layer.timers.next(gap);
+            repeat = layer.wheel.after(gap, this::again);
+        }
+    }
+
+    void repeated() {
+        // In Accepted the 2xx is the dialog's to repeat (RFC 6026 7.1); in Confirmed nothing is owed.
+        if (last != null && (state == State.PROCEEDING || state == State.COMPLETED)) {
+            layer.out.send(last, back);
+        }
+    }
+
+    /** The ACK of a final response other than 2xx. */
+    void acked() {
+        if (state == State.COMPLETED && invite) {
+            state = State.CONFIRMED;
+            linger(from.reliable() ? Span.ZERO : layer.timers.t4());
+        }
+    }
+
+    boolean waitsForAck() {
+        return invite && (state == State.COMPLETED || state == State.CONFIRMED);
+    }
+
+    private void linger(Span span) {
+        stop();
+        if (span.ns() == 0) {
+            terminate();
+        } else {
+            end = layer.wheel.after(span, this::terminate);
+        }
+    }
+
+    private void stop() {
+        if (repeat != null) {
+            repeat.cancel();
+        }
+        if (end != null) {
+            end.cancel();
+        }
+    }
+
+    private void terminate() {
+        stop();
+        state = State.TERMINATED;
+        layer.over(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transaction/Timers.java
@@ -0,0 +1,22 @@
+package martenslip.sip.transaction;
+
+import martenslip.control.Span;
+
+/** Values of RFC 3261 17 table 4, from T1; timers D, H, I, J, K, L and M follow from them. */
+public record Timers(Span t1, Span t2, Span t4) {
+    public static final Timers RFC = new Timers(Span.ofMillis(500), Span.ofMillis(4000), Span.ofMillis(5000));
+
+    /** Timers B, F, H, J, L and M: how long a transaction may last without what it waits for. */
+    public Span whole() {
+        return t1.times(64);
+    }
+
+    /** Timer D on a transport that may lose: how long answers that come again are met with an ACK. */
+    public Span linger() {
+        return t1.times(64);
+    }
+
+    public Span next(Span last) {
+        return last.times(2).most(t2);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transaction/Transactions.java
@@ -0,0 +1,231 @@
+package martenslip.sip.transaction;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.HostPort;
+import martenslip.sip.message.Message;
+import martenslip.sip.message.Params;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.message.Via;
+import martenslip.sip.transport.Arrival;
+import martenslip.sip.transport.Drops;
+import martenslip.sip.transport.Hop;
+import martenslip.wheel.Wheel;
+
+/**
+ * All transactions of one thread (RFC 3261 17). At {@code most} transactions new requests are answered 503
+ * without state, and own requests fail with {@link Failure#TABLE_FULL}.
+ */
+public final class Transactions {
+    /** Requests over this size go by TCP where the path's limit is unknown (RFC 3261 18.1.1). */
+    public static final int LARGE = 1300;
+
+    final Wheel wheel;
+    final Timers timers;
+    final Outlet out;
+    private final Branches branches;
+    private final User user;
+    private final Drops drops;
+    private final int most;
+    private final Map<String, ServerTransaction> servers = new HashMap<>();
+    private final Map<String, ClientTransaction> clients = new LinkedHashMap<>();
+
+    public Transactions(Wheel wheel, Timers timers, Outlet out, Branches branches, User user, Drops drops, int most) {
+        this.wheel = wheel;
+        this.timers = timers;
+        this.out = out;
+        this.branches = branches;
+        this.user = user;
+        this.drops = drops;
+        this.most = most;
+    }
+
+    public int open() {
+        return servers.size() + clients.size();
+    }
+
+    static String clientKey(String branch, String method) {
+        return method + ' ' + branch;
+    }
+
+    /** RFC 3261 17.2.3; without the cookie the older rule's parts stand in for the branch. */
+    static String serverKey(Request request, String method) throws BadValue {
+        Via via = request.via();
+        if (via.branch().startsWith(Via.COOKIE)) {
+            return method + ' ' + via.branch() + ' ' + via.sentBy();
+        }
+        return method + ' ' + request.callId() + ' ' + request.cseq().number() + ' ' + request.from().tag() + ' '
+                + via.sentBy() + via.branch();
+    }
+
+    /** Sends a request over a transaction of its own; its Via is put here. */
+    public ClientTransaction send(Request request, Hop to, Asker asker) {
+        request.headers().push("Via", via(to.kind(), branches.branch()));
+        boolean large = to.kind() == Hop.Kind.UDP && request.bytes().length > LARGE;
+        Hop hop = large ? Hop.tcp(to.address()) : to;
+        if (large) {
+            request.headers().set("Via", via(hop.kind(), branches.branch()));
+        }
+        return start(request, hop, large, asker);
+    }
+
+    /** Sends a CANCEL, which bears the Via of what it cancels. */
+    public ClientTransaction sendCancel(Request cancel, Hop to, Asker asker) {
+        return start(cancel, to, false, asker);
+    }
+
+    private ClientTransaction start(Request request, Hop hop, boolean forSize, Asker asker) {
+        ClientTransaction transaction = new ClientTransaction(this, request, hop, forSize, asker);
+        if (open() >= most) {
+            drops.count("transaction table full");
+            wheel.at(wheel.now(), () -> transaction.fail(Failure.TABLE_FULL));
+            return transaction;
+        }
+        clients.put(key(transaction), transaction);
+        transaction.start();
+        return transaction;
+    }
+
+    /** Sends a request that has no transaction: the ACK of a 2xx (RFC 3261 13.2.2.4). */
+    public void sendAck(Request ack, Hop to) {
+        ack.headers().push("Via", via(to.kind(), branches.branch()));
+        out.send(ack.bytes(), to);
+    }
+
+    /** Asks for overload control too (RFC 7339 4.1), and for the answer to come back here (RFC 3581 3). */
+    private Via via(Hop.Kind kind, String branch) {
+        try {
+            Via via = new Via(kind.name(), HostPort.parse(out.sentBy(kind)), Params.NONE);
+            return via.with("branch", branch).with("rport", null).with("oc", null)
+                    .with("oc-algo", "\"loss,rate\"");
+        } catch (BadValue e) {
+            throw new IllegalStateException("own host " + out.sentBy(kind), e);
+        }
+    }
+
+    private static String key(ClientTransaction transaction) {
+        try {
+            return transaction.key();
+        } catch (BadValue e) {
+            throw new IllegalStateException("a request of our own without Via", e);
+        }
+    }
+
+    public void arrived(Arrival arrival) {
+        if (arrival instanceof Arrival.Received received) {
+            received(received.message(), received.from());
+        } else if (arrival instanceof Arrival.Wrong wrong) {
+            drops.count("wrong request answered " + wrong.status());
+            refuse(wrong.request(), wrong.status(), wrong.fault(), wrong.from());
+        } else if (arrival instanceof Arrival.Broken broken) {
+            new ArrayList<>(clients.values()).forEach(one -> one.broken(broken.everUp(), broken.hop()));
+            user.broken(broken.hop(), broken.everUp());
+        }
+    }
+
+    private void received(Message message, Hop from) {
+        try {
+            if (message instanceof Response response) {
+                response(response, from);
+            } else if (message instanceof Request request) {
+                request(request, from);
+            }
+        } catch (BadValue e) {
+            drops.count("unreadable value");
+        }
+    }
+
+    private void response(Response response, Hop from) throws BadValue {
+        ClientTransaction transaction = clients.get(clientKey(response.via().branch(), response.cseq().method()));
+        if (transaction != null) {
+            transaction.response(response);
+        } else {
+            user.stray(response, from);
+        }
+    }
+
+    private void request(Request request, Hop from) throws BadValue {
+        if (request.is("ACK")) {
+            ServerTransaction invite = servers.get(serverKey(request, "INVITE"));
+            if (invite != null && invite.waitsForAck()) {
+                invite.acked();
+            } else {
+                user.acked(request, from);
+            }
+            return;
+        }
+        String key = serverKey(request, request.method());
+        ServerTransaction known = servers.get(key);
+        if (known != null) {
+            known.repeated();
+            return;
+        }
+        if (open() >= most) {
+            drops.count("transaction table full");
+            refuse(request, 503, "Too many transactions", from);
+            return;
+        }
+        ServerTransaction begun = new ServerTransaction(this, key, request, from, back(request, from));
+        servers.put(key, begun);
+        if (request.is("CANCEL")) {
+            cancel(begun);
+        } else {
+            user.requested(begun);
+        }
+    }
+
+    /** RFC 3261 9.2. */
+    private void cancel(ServerTransaction cancel) throws BadValue {
+        ServerTransaction invite = servers.get(serverKey(cancel.request(), "INVITE"));
+        if (invite == null) {
+            cancel.respond(cancel.request().answer(481, "No transaction to cancel", branches.tag()));
+            return;
+        }
+        cancel.respond(cancel.request().answer(200, "OK", branches.tag()));
+        if (invite.state() == ServerTransaction.State.PROCEEDING) {
+            user.cancelled(invite, cancel.request());
+        }
+    }
+
+    /** Answers without state (RFC 3261 8.2.7); a repeat gets the same answer. */
+    public void refuse(Request request, int status, String reason, Hop from) {
+        if (!request.is("ACK")) {
+            String tag = Integer.toString(request.headers().first("Call-ID").hashCode() & 0x7fffffff, 36);
+            try {
+                out.send(request.answer(status, reason, tag).bytes(), back(request, from));
+            } catch (BadValue e) {
+                drops.count("nobody to answer");
+            }
+        }
+    }
+
+    /** Where responses go (RFC 3261 18.2.2, RFC 3581 4). */
+    public static Hop back(Request request, Hop from) throws BadValue {
+        if (from.reliable()) {
+            return from;
+        }
+        Via via = request.via();
+        String rport = via.params().get("rport");
+        int port = rport != null ? Integer.parseInt(rport) : via.sentBy().port() < 0 ? 5060 : via.sentBy().port();
+        return Hop.udp(new java.net.InetSocketAddress(from.address().getAddress(), port));
+    }
+
+    /** A large request went by TCP only for its size, which was refused; now it goes by UDP after all. */
+    void shrunk(ClientTransaction transaction) {
+        clients.remove(key(transaction));
+        transaction.overUdp(via(Hop.Kind.UDP, branches.branch()), Hop.udp(transaction.hop().address()));
+        clients.put(key(transaction), transaction);
+    }
+
+    void over(ClientTransaction transaction) {
+        clients.remove(key(transaction), transaction);
+    }
+
+    void over(ServerTransaction transaction) {
+        servers.remove(transaction.key, transaction);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/sip/transaction/User.java
@@ -0,0 +1,23 @@
+package martenslip.sip.transaction;
+
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.transport.Hop;
+
+/** The transaction user (RFC 3261 5): takes what is new. */
+public interface User {
+    /** A request that began a transaction; never an ACK or a CANCEL. */
+    void requested(ServerTransaction transaction);
+
+    /** A CANCEL of this INVITE, which has no final response yet. The CANCEL has been answered. */
+    void cancelled(ServerTransaction invite, Request cancel);
+
+    /** An ACK that belongs to no transaction: that of a 2xx. */
+    void acked(Request ack, Hop from);
+
+    /** A response without a transaction; a late 2xx to an INVITE still wants an ACK and a BYE. */
+    void stray(Response response, Hop from);
+
+    /** A connection broke, for dialogs that went over it. */
+    void broken(Hop hop, boolean everUp);
+}
--- a/src/main/java/martenslip/sip/transport/Transport.java
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -131,7 +131,15 @@
         if (connections.size() >= bounds.connections()) {
             return null;
         }
-        return add(new Socket(), to.address(), false);
+        Socket socket = new Socket();
+        try {
+            // From the address that is listened on: a peer may know this endpoint by it.
+            socket.bind(new InetSocketAddress((udp != null ? udp.getLocalAddress() : tcp.getInetAddress()), 0));
+        } catch (IOException e) {
+            drops.count("no local port");
+            return null;
+        }
+        return add(socket, to.address(), false);
     }
 
     private synchronized Connection add(Socket socket, InetSocketAddress peer, boolean up) {
--- /dev/null
+++ b/src/main/java/martenslip/standin/Passing.java
@@ -0,0 +1,222 @@
+package martenslip.standin;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import martenslip.control.Span;
+import martenslip.signal.Release;
+import martenslip.sip.message.BadValue;
+import martenslip.sip.message.HostPort;
+import martenslip.sip.message.Message;
+import martenslip.sip.message.NameAddr;
+import martenslip.sip.message.Params;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.message.SipUri;
+import martenslip.sip.message.Via;
+import martenslip.sip.transport.Hop;
+import martenslip.sip.transport.Hops;
+import martenslip.standin.Processor.Work;
+
+/**
+ * A machine's part as a proxy without transactions (RFC 3261 16.11) between callers or far controllers and its
+ * exchange's controller: each message waits for the processor, then goes on. Circuits of contacts in transit are
+ * held from the INVITE until a refusal or a BYE.
+ */
+final class Passing {
+    private static final String MARK = Via.COOKIE + "p";
+    private static final Span GUARD = Span.ofMillis(40_000);
+
+    private static final class Through {
+        final String session;
+        final String group;
+        final Trunks.Seizure seizure;
+        final Hop from;
+        boolean stood;
+
+        Through(String session, String group, Trunks.Seizure seizure, Hop from) {
+            this.session = session;
+            this.group = group;
+            this.seizure = seizure;
+            this.from = from;
+        }
+    }
+
+    private final Machine machine;
+    private final Trunks trunks;
+    private final Hop controller;
+    private final Map<String, Through> all = new LinkedHashMap<>();
+
+    Passing(Machine machine, Trunks trunks, Hop controller) {
+        this.machine = machine;
+        this.trunks = trunks;
+        this.controller = controller;
+    }
+
+    /** False where the message is for the machine itself. */
+    boolean takes(Message message, Hop from) throws BadValue {
+        if (message instanceof Response response) {
+            return back(response);
+        }
+        Request request = (Request) message;
+        String route = request.headers().first("Route");
+        if (route != null && mine(SipUri.parse(NameAddr.parse(route).uri()).at())) {
+            within(request);
+            return true;
+        }
+        boolean begins = request.is("INVITE") && request.to().tag().isEmpty();
+        boolean belongs = request.is("CANCEL") || request.is("ACK");
+        if (begins && !machine.endsHere(request.target())) {
+            begin(request, from);
+            return true;
+        }
+        if (belongs && all.containsKey(request.callId()) && !machine.endsHere(request.target())) {
+            forward(request, Work.NOTE, controller);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean mine(HostPort at) {
+        InetSocketAddress udp = machine.at(Hop.Kind.UDP);
+        InetSocketAddress tcp = machine.at(Hop.Kind.TCP);
+        return at.bare().equals(udp.getAddress().getHostAddress())
+                && (at.port() == udp.getPort() || at.port() == tcp.getPort());
+    }
+
+    private void begin(Request invite, Hop from) throws BadValue {
+        String group = Machine.group(invite);
+        Through known = all.get(invite.callId());
+        if (known == null) {
+            String session = String.valueOf(invite.headers().first("Session-ID"));
+            Trunks.Seizure seizure = group == null ? null : trunks.seize(group, machine.width(invite), session);
+            if (group != null && seizure == null) {
+                refuse(invite, from, "No circuit", Release.NO_CIRCUIT, group);
+                return;
+            }
+            Through through = new Through(session, group, seizure, from);
+            all.put(invite.callId(), through);
+            machine.endpoint().wheel().after(GUARD, () -> {
+                if (!through.stood) {
+                    drop(invite.callId());
+                }
+            });
+        }
+        if (group != null) {
+            // The far controller is heard at once that the front end has it; the rest is its own controller's.
+            Response trying = invite.answer(100, "Trying", null);
+            machine.endpoint().transport().send(trying.bytes(), backTo(invite.via(), from));
+        }
+        if (!forward(invite, Work.LOOK, controller)) {
+            drop(invite.callId());
+            refuse(invite, from, "Processor full", Release.CONGESTION, group);
+        }
+    }
+
+    private void refuse(Request invite, Hop from, String reason, int cause, String group) throws BadValue {
+        Response response = invite.answer(503, reason, machine.endpoint().calls().branches().tag());
+        response.headers().add("Reason", new Release(cause, Release.HERE));
+        machine.loaded(response, group);
+        machine.endpoint().transport().send(response.bytes(), backTo(invite.via(), from));
+    }
+
+    private void drop(String key) {
+        Through through = all.remove(key);
+        if (through != null) {
+            trunks.free(through.seizure);
+        }
+    }
+
+    /** A request within a dialog follows its routes; a BYE gives the circuits back. */
+    private void within(Request request) throws BadValue {
+        request.headers().pop("Route");
+        String next = request.headers().first("Route");
+        Hop to = Hops.of(SipUri.parse(next == null ? request.uri() : NameAddr.parse(next).uri()));
+        boolean bye = request.is("BYE");
+        forward(request, bye ? Work.RELEASE : Work.NOTE, to);
+        if (bye) {
+            drop(request.callId());
+        }
+    }
+
+    private boolean forward(Request request, Work work, Hop to) throws BadValue {
+        String hops = request.headers().first("Max-Forwards");
+        if ("0".equals(hops)) {
+            return true;
+        }
+        String branch = request.via().branch();
+        String mark = MARK + branch.substring(branch.startsWith(Via.COOKIE) ? Via.COOKIE.length() : 0);
+        InetSocketAddress at = machine.at(to.kind());
+        HostPort by = new HostPort(at.getAddress().getHostAddress(), at.getPort());
+        Via via = new Via(to.kind().name(), by, Params.NONE).with("branch", mark).with("rport", null);
+        request.headers().push("Via", via);
+        request.headers().set("Max-Forwards", hops == null ? 70 : Integer.parseInt(hops) - 1);
+        if (request.is("INVITE")) {
+            request.headers().push("Record-Route", "<sip:" + own() + ";lr>");
+        }
+        byte[] bytes = request.bytes();
+        return machine.work(work, () -> machine.endpoint().transport().send(bytes, to));
+    }
+
+    private HostPort own() {
+        InetSocketAddress udp = machine.at(Hop.Kind.UDP);
+        return new HostPort(udp.getAddress().getHostAddress(), udp.getPort());
+    }
+
+    private boolean back(Response response) throws BadValue {
+        if (!response.via().branch().startsWith(MARK)) {
+            return false;
+        }
+        response.headers().pop("Via");
+        if (response.headers().first("Via") == null) {
+            return true;
+        }
+        Through through = all.get(response.callId());
+        boolean invite = response.cseq().method().equals("INVITE");
+        if (through != null && invite && response.status() >= 200) {
+            through.stood |= response.success();
+            machine.loaded(response, through.group);
+        }
+        Via next = response.via();
+        byte[] bytes = response.bytes();
+        Hop to = backTo(next, null);
+        Work work = invite && response.status() >= 200 ? Work.ANSWER : Work.NOTE;
+        if (invite && response.status() >= 300) {
+            machine.work(Work.REJECT, () -> {
+                machine.endpoint().transport().send(bytes, to);
+                // The entry stays for the ACK that must still find its way; the guard takes it away.
+                trunks.free(through == null ? null : through.seizure);
+            });
+        } else {
+            machine.work(work, () -> machine.endpoint().transport().send(bytes, to));
+        }
+        return true;
+    }
+
+    /** RFC 3261 18.2.2; over TCP by the connection it came on, where that is known. */
+    private static Hop backTo(Via via, Hop from) throws BadValue {
+        if (from != null && from.reliable()) {
+            return from;
+        }
+        String received = via.params().get("received");
+        String rport = via.params().get("rport");
+        int port = rport != null ? Integer.parseInt(rport) : via.sentBy().port();
+        InetSocketAddress at = Hops.address(new HostPort(received == null ? via.sentBy().host() : received, port));
+        return via.transport().equals("TCP") ? Hop.tcp(at) : Hop.udp(at);
+    }
+
+    /** Frees what came from, or goes to, such a place; the sessions are given. */
+    List<String> dropAll(Predicate<Hop> which) {
+        List<String> sessions = new ArrayList<>();
+        for (Map.Entry<String, Through> one : new ArrayList<>(all.entrySet())) {
+            if (which.test(one.getValue().from) || which.test(controller)) {
+                sessions.add(one.getValue().session);
+                drop(one.getKey());
+            }
+        }
+        return sessions;
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/standin/Processor.java
@@ -0,0 +1,112 @@
+package martenslip.standin;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+
+/**
+ * A switch's processor as a model: one line, work in the order of its arrival, set-ups and looks turned away once
+ * the wait is too long. Time is handed in, so sockets and simulated time can both drive it.
+ */
+public final class Processor {
+    /** What a message costs, in parts of a set-up. */
+    public enum Work {
+        LOOK(0.4), SET_UP(1), ANSWER(0.3), RELEASE(0.3), REJECT(0.3), NOTE(0.1);
+
+        private final double part;
+
+        Work(double part) {
+            this.part = part;
+        }
+
+        /** New work, which a full processor turns away; the rest belongs to what was taken before. */
+        boolean fresh() {
+            return this == LOOK || this == SET_UP;
+        }
+    }
+
+    /** {@code unit} is a warm set-up's work; a cold start at {@code coldFrom} is warm after {@code warm}. */
+    public record Make(Span unit, Span mostWait, double coldFrom, Span warm, double fallMultiple, Span fall) { }
+
+    /** Set-ups a second of a warm processor that does nothing else, with their answers and releases. */
+    static double capacity(Make make) {
+        return 1e9 / make.unit().ns() / (Work.SET_UP.part + Work.ANSWER.part + Work.RELEASE.part);
+    }
+
+    private final Make make;
+    private final Moment started;
+    private final boolean coldStart;
+    private final Deque<Moment> recent = new ArrayDeque<>();
+    private final Deque<Moment> pending = new ArrayDeque<>();
+    private Moment busyUntil;
+    private double slowness = 1;
+    private boolean fallen;
+
+    public Processor(Make make, Moment now, boolean coldStart) {
+        this.make = make;
+        started = now;
+        busyUntil = now;
+        this.coldStart = coldStart;
+    }
+
+    /** Its present capacity as a part of a warm one's. */
+    public double part(Moment now) {
+        double warm = coldStart ? now.since(started).over(make.warm()) : 1;
+        return (make.coldFrom() + (1 - make.coldFrom()) * Math.min(1, warm)) / slowness;
+    }
+
+    public boolean cold(Moment now) {
+        return coldStart && make.warm().longerThan(now.since(started));
+    }
+
+    /** From now on work takes this many times as long. */
+    public void slow(double times) {
+        slowness = times;
+    }
+
+    /** True once it was pushed over while cold; nothing is done any more. */
+    public boolean fallen() {
+        return fallen;
+    }
+
+    public Span wait(Moment now) {
+        return busyUntil.since(now).least(Span.ZERO);
+    }
+
+    public int depth(Moment now) {
+        while (!pending.isEmpty() && !now.before(pending.peek())) {
+            pending.poll();
+        }
+        return pending.size();
+    }
+
+    /** When the work will be done; null where it is turned away, which costs work too. */
+    public Moment take(Moment now, Work work) {
+        if (work.fresh()) {
+            countFresh(now);
+            if (wait(now).longerThan(make.mostWait())) {
+                add(now, Work.REJECT);
+                return null;
+            }
+        }
+        return fallen ? now.plus(Span.ofMillis(3.6e6)) : add(now, work);
+    }
+
+    private Moment add(Moment now, Work work) {
+        Moment begins = busyUntil.before(now) ? now : busyUntil;
+        busyUntil = begins.plus(make.unit().times(work.part / part(now)));
+        pending.add(busyUntil);
+        return busyUntil;
+    }
+
+    private void countFresh(Moment now) {
+        recent.add(now);
+        while (now.since(recent.peek()).longerThan(make.fall())) {
+            recent.poll();
+        }
+        double most = make.fallMultiple() * capacity(make) * part(now) * make.fall().ns() / 1e9;
+        // A few more than the budget are chance, not a push.
+        fallen |= cold(now) && recent.size() > most + 3;
+    }
+}
