--- a/src/main/java/martenslip/exchange/Exchange.java
+++ b/src/main/java/martenslip/exchange/Exchange.java
@@ -1,6 +1,7 @@
 package martenslip.exchange;
 
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.time.Instant;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -66,8 +67,10 @@
         CountDownLatch ready = new CountDownLatch(1);
         Moment now = new Moment(System.nanoTime());
         Instant wall = Instant.now();
+        // Never from the configured seed: a restart would then use the branches and tags of its last run again.
         int transactions = Math.min(1 << 20, site.limits().mostOpen() * TRANSACTIONS_A_CONTACT);
-        endpoint.start(user(), (message, from) -> false, this::tellModule, Timers.RFC, site.seed(), transactions);
+        endpoint.start(user(), (message, from) -> false, this::tellModule, Timers.RFC,
+                new SecureRandom().nextLong(), transactions);
         endpoint.run(() -> {
             begin(new SwitchText(site.regions(), now, wall));
             ready.countDown();
--- a/src/main/java/martenslip/exchange/Surroundings.java
+++ b/src/main/java/martenslip/exchange/Surroundings.java
@@ -123,16 +123,14 @@
 
     private void listed(byte[] body) throws Rejected, BadValue {
         SwitchText.Lines lines = text.lines(body);
-        if (!lines.full() && lines.version() != listVersion + 1) {
-            // A notice was lost: what is between is not known, so the whole list is asked for.
-            log.info(calls.wheel().now(), "list-gap", "had", listVersion, "got", lines.version());
-            if (lines.version() > listVersion) {
-                watchList(true);
-            }
+        if (!lines.full() && lines.version() <= listVersion) {
+            log.info(calls.wheel().now(), "list-older", "had", listVersion, "got", lines.version());
             return;
         }
-        if (lines.full() && lines.version() < listVersion) {
-            log.info(calls.wheel().now(), "list-older", "had", listVersion, "got", lines.version());
+        if (!lines.full() && lines.version() != listVersion + 1) {
+            // A notice was lost. What this one says is the newest all the same, and a drain may not wait.
+            log.info(calls.wheel().now(), "list-gap", "had", listVersion, "got", lines.version());
+            list.refresh();
         }
         listVersion = lines.version();
         switchboard.listed(lines.lines(), lines.full());
@@ -159,12 +157,12 @@
 
     private void circuitsTold(byte[] body) throws Rejected, BadValue {
         SwitchText.Groups groups = text.groups(body);
-        if (!groups.full() && groups.version() != circuitsVersion + 1) {
-            if (groups.version() > circuitsVersion) {
-                circuitsFailed("a notice was lost");
-            }
+        if (!groups.full() && groups.version() <= circuitsVersion) {
             return;
         }
+        if (!groups.full() && groups.version() != circuitsVersion + 1) {
+            circuits.refresh();
+        }
         circuitsVersion = groups.version();
         for (SwitchText.GroupState state : groups.groups()) {
             Switchboard.Circuits told = switchboard.told(state);
--- a/src/main/java/martenslip/play/Play.java
+++ b/src/main/java/martenslip/play/Play.java
@@ -43,7 +43,9 @@
              World world = new World(day, plan, controllers, capture)) {
             begin(controllers, world);
             world.callers().begin();
-            schedule(new Troubles(day, world, controllers), world);
+            Troubles troubles = new Troubles(day, world, controllers);
+            schedule(troubles, world);
+            troubles.started();
             double cpu = controllers.cpuSeconds();
             settle(world);
             table(world, cpu);
@@ -105,8 +107,8 @@
                 wanted += row.wanted();
                 served += row.of(Tally.End.IN_TARGET);
             }
-            out.printf(Locale.ROOT, "%5d s  wanted %d, in target %d, standing %d, circuits used %d%n", second, wanted,
-                    served, world.callers().standing(), world.trunks().used());
+            out.printf(Locale.ROOT, "%5d s  wanted %d, in target %d, standing %d, circuits used %d, waits ms%s%n", second, wanted,
+                    served, world.callers().standing(), world.trunks().used(), world.waits());
         });
     }
 
--- a/src/main/java/martenslip/play/Troubles.java
+++ b/src/main/java/martenslip/play/Troubles.java
@@ -1,9 +1,11 @@
 package martenslip.play;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import martenslip.control.Span;
 import martenslip.provision.Node;
 import martenslip.standin.Network;
@@ -19,6 +21,7 @@
 
     private final World world;
     private final Controllers controllers;
+    private final List<CompletableFuture<Void>> starting = new ArrayList<>();
     private final List<Deed> deeds = new ArrayList<>();
 
     Troubles(Day day, World world, Controllers controllers) {
@@ -71,9 +74,23 @@
         world.controllerKilled(exchange);
     }
 
-    private void back(int exchange) throws IOException, InterruptedException {
-        controllers.start(exchange);
-        world.controllerUp(exchange);
+    /** Not waited for: the day goes on while the process starts. */
+    private void back(int exchange) {
+        starting.add(CompletableFuture.runAsync(() -> {
+            try {
+                controllers.start(exchange);
+                world.controllerUp(exchange);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+    }
+
+    /** Waits for the processes that were started last; a start that failed is thrown here. */
+    void started() {
+        starting.forEach(CompletableFuture::join);
     }
 
     private void reset(int exchange) {
--- a/src/main/java/martenslip/play/World.java
+++ b/src/main/java/martenslip/play/World.java
@@ -202,6 +202,15 @@
         return machines.get(exchange);
     }
 
+    /** How long work waits at each switch, for the line of progress. */
+    String waits() {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < day.exchanges(); i++) {
+            text.append(' ').append(machines.get(i).waitMs());
+        }
+        return text.toString();
+    }
+
     /** Switches that were pushed over. */
     List<Integer> fallen() {
         List<Integer> fallen = new ArrayList<>();
--- a/src/main/java/martenslip/proof/FinalAnswers.java
+++ b/src/main/java/martenslip/proof/FinalAnswers.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.sip.message.BadValue;
@@ -35,11 +37,17 @@
 
     private final Map<String, Asked> asked = new LinkedHashMap<>();
     private final Map<Integer, List<Moment>> kills = new HashMap<>();
+    private final Set<Integer> down = new HashSet<>();
+    private final Set<String> unheard = new HashSet<>();
     private final List<String> broken = new ArrayList<>();
     private Moment last = new Moment(0);
 
     void taken(Moment at, int controller, Request invite) throws BadValue {
         last = at;
+        if (down.contains(controller)) {
+            unheard.add(invite.via().branch());
+            return;
+        }
         String exact = invite.headers().first("Martenslip-Patience");
         String whole = invite.headers().first("Expires");
         Span patience = Span.ofMillis(exact != null ? Double.parseDouble(exact)
@@ -51,6 +59,10 @@
     void answered(Moment at, int controller, Response response) throws BadValue {
         last = at;
         Asked one = asked.get(response.via().branch());
+        if (one == null && unheard.contains(response.via().branch())) {
+            // It listens already, and says so a moment later.
+            return;
+        }
         if (one == null) {
             broken.add("controller " + controller + ": answer to no contact, " + response.status() + " "
                     + response.callId());
@@ -76,7 +88,12 @@
         broken.add("controller " + controller + ": a message that can't be read, " + why);
     }
 
+    void up(int controller) {
+        down.remove(controller);
+    }
+
     void killed(int controller, Moment at) {
+        down.add(controller);
         kills.computeIfAbsent(controller, any -> new ArrayList<>()).add(at);
     }
 
--- a/src/main/java/martenslip/proof/Proof.java
+++ b/src/main/java/martenslip/proof/Proof.java
@@ -33,6 +33,8 @@
                     answers.killed(number, at);
                     rings.killed(number);
                     drains.killed(number);
+                } else {
+                    answers.up(number);
                 }
             }
             case "machine" -> machines.put(words.get("local"), words.get("at"));
--- a/src/main/java/martenslip/proof/Rings.java
+++ b/src/main/java/martenslip/proof/Rings.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import martenslip.control.Moment;
 import martenslip.control.Span;
+import martenslip.signal.Release;
 import martenslip.sip.message.BadValue;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
@@ -27,7 +28,7 @@
         Moment lastInvite;
         Moment heard;
         Moment finalAt;
-        int status;
+        boolean timedOut;
         Moment cancelledAt;
 
         Ring(String callId, String to, Moment first) {
@@ -48,7 +49,7 @@
         /** It may still hold something: it was cancelled, timed out or reset, or nothing was ever heard. */
         boolean held() {
             return cancelledAt != null && (finalAt == null || cancelledAt.before(finalAt)) || finalAt == null
-                    || status == 408 || status == 504;
+                    || timedOut;
         }
     }
 
@@ -112,7 +113,10 @@
         ring.heard = ring.heard == null ? at : ring.heard;
         if (response.status() >= 200 && ring.finalAt == null) {
             ring.finalAt = at;
-            ring.status = response.status();
+            // A tandem that gave up behind itself turns the contact back: this ring is over and holds nothing.
+            Release release = Release.of(response);
+            boolean beyond = release != null && release.from(Release.TRANSIT);
+            ring.timedOut = response.status() == 408 || response.status() == 504 && !beyond;
         }
     }
 
--- a/src/main/java/martenslip/sip/dialog/Watch.java
+++ b/src/main/java/martenslip/sip/dialog/Watch.java
@@ -71,6 +71,14 @@
         subscribe(ASKED_SECONDS);
     }
 
+    /** Asks for the whole state within the subscription that stands; without one it does nothing. */
+    public void refresh() {
+        if (on) {
+            stopTimer();
+            subscribe(ASKED_SECONDS);
+        }
+    }
+
     /** Ends the subscription; nothing more is told. */
     public void stop() {
         stopTimer();
--- a/src/main/java/martenslip/standin/Machine.java
+++ b/src/main/java/martenslip/standin/Machine.java
@@ -89,6 +89,11 @@
         return endpoint.wheel().now();
     }
 
+    /** A controller sent a set-up here. */
+    void sent() {
+        processor.sent(now());
+    }
+
     /** Runs when the processor has done the work; false where it turned it away. */
     boolean work(Work work, Runnable done) {
         Moment when = processor.take(now(), work);
@@ -168,6 +173,7 @@
             return;
         }
         ending.put(call, seizure);
+        processor.sent(now());
         boolean taken = work(Work.SET_UP, () -> {
             if (call.open()) {
                 call.accept(loaded(call.response(200, "OK"), group));
@@ -240,6 +246,11 @@
         wire.silent(on);
     }
 
+    /** Milliseconds that work waits for the processor now. Read by any thread for a look only. */
+    public long waitMs() {
+        return processor.wait(new Moment(System.nanoTime())).ns() / 1_000_000;
+    }
+
     /** True once it was pushed over while cold. */
     public boolean fallen() {
         return processor.fallen();
--- a/src/main/java/martenslip/standin/Passing.java
+++ b/src/main/java/martenslip/standin/Passing.java
@@ -2,9 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import martenslip.control.Span;
 import martenslip.signal.Release;
@@ -17,12 +20,13 @@
 import martenslip.sip.message.Response;
 import martenslip.sip.message.SipUri;
 import martenslip.sip.message.Via;
+import martenslip.sip.transaction.Timers;
 import martenslip.sip.transport.Hop;
 import martenslip.sip.transport.Hops;
 import martenslip.standin.Processor.Work;
 
 /**
- * A machine's part as a proxy without transactions (RFC 3261 16.11) between callers or far controllers and its
+ * A machine's part as a proxy with next to no state between callers or far controllers and its
  * exchange's controller: each message waits for the processor, then goes on. Circuits of contacts in transit are
  * held from the INVITE until a refusal or a BYE.
  */
@@ -36,6 +40,7 @@
         final Trunks.Seizure seizure;
         final Hop from;
         boolean stood;
+        boolean heard;
 
         Through(String session, String group, Trunks.Seizure seizure, Hop from) {
             this.session = session;
@@ -49,6 +54,7 @@
     private final Trunks trunks;
     private final Hop controller;
     private final Map<String, Through> all = new LinkedHashMap<>();
+    private final Set<String> waiting = new HashSet<>();
 
     Passing(Machine machine, Trunks trunks, Hop controller) {
         this.machine = machine;
@@ -74,7 +80,7 @@
             return true;
         }
         if (belongs && all.containsKey(request.callId()) && !machine.endsHere(request.target())) {
-            forward(request, Work.NOTE, controller);
+            forward(request, Work.NOTE, controller, bytes -> { });
             return true;
         }
         return false;
@@ -99,23 +105,41 @@
             }
             Through through = new Through(session, group, seizure, from);
             all.put(invite.callId(), through);
+            if (group != null) {
+                machine.sent();
+            }
             machine.endpoint().wheel().after(GUARD, () -> {
                 if (!through.stood) {
                     drop(invite.callId());
                 }
             });
         }
-        if (group != null) {
-            // The far controller is heard at once that the front end has it; the rest is its own controller's.
-            Response trying = invite.answer(100, "Trying", null);
-            machine.endpoint().transport().send(trying.bytes(), backTo(invite.via(), from));
+        // The front end answers at once (RFC 3261 16.2), and from then on it is the one that repeats.
+        Response trying = invite.answer(100, "Trying", null);
+        machine.endpoint().transport().send(trying.bytes(), backTo(invite.via(), from));
+        if (known != null) {
+            return;
         }
-        if (!forward(invite, Work.LOOK, controller)) {
+        if (!forward(invite, Work.LOOK, controller, bytes -> repeat(invite.callId(), bytes, Timers.RFC.t1()))) {
             drop(invite.callId());
             refuse(invite, from, "Processor full", Release.CONGESTION, group);
         }
     }
 
+    /** An INVITE that the controller has not answered in any way is sent again, as by a client transaction. */
+    private void repeat(String callId, byte[] invite, Span after) {
+        if (controller.reliable()) {
+            return;
+        }
+        machine.endpoint().wheel().after(after, () -> {
+            Through through = all.get(callId);
+            if (through != null && !through.heard && after.compareTo(Timers.RFC.t2()) < 0) {
+                machine.endpoint().transport().send(invite, controller);
+                repeat(callId, invite, after.times(2));
+            }
+        });
+    }
+
     private void refuse(Request invite, Hop from, String reason, int cause, String group) throws BadValue {
         Response response = invite.answer(503, reason, machine.endpoint().calls().branches().tag());
         response.headers().add("Reason", new Release(cause, Release.HERE));
@@ -136,13 +160,13 @@
         String next = request.headers().first("Route");
         Hop to = Hops.of(SipUri.parse(next == null ? request.uri() : NameAddr.parse(next).uri()));
         boolean bye = request.is("BYE");
-        forward(request, bye ? Work.RELEASE : Work.NOTE, to);
+        forward(request, bye ? Work.RELEASE : Work.NOTE, to, bytes -> { });
         if (bye) {
             drop(request.callId());
         }
     }
 
-    private boolean forward(Request request, Work work, Hop to) throws BadValue {
+    private boolean forward(Request request, Work work, Hop to, Consumer<byte[]> sent) throws BadValue {
         String hops = request.headers().first("Max-Forwards");
         if ("0".equals(hops)) {
             return true;
@@ -158,7 +182,25 @@
             request.headers().push("Record-Route", "<sip:" + own() + ";lr>");
         }
         byte[] bytes = request.bytes();
-        return machine.work(work, () -> machine.endpoint().transport().send(bytes, to));
+        return queued(request.method() + mark, work, () -> {
+            machine.endpoint().transport().send(bytes, to);
+            sent.accept(bytes);
+        });
+    }
+
+    /** Waits for the processor; what comes again while it waits costs nothing. False where it was turned away. */
+    private boolean queued(String key, Work work, Runnable done) {
+        if (!waiting.add(key)) {
+            return true;
+        }
+        boolean taken = machine.work(work, () -> {
+            waiting.remove(key);
+            done.run();
+        });
+        if (!taken) {
+            waiting.remove(key);
+        }
+        return taken;
     }
 
     private HostPort own() {
@@ -176,6 +218,13 @@
         }
         Through through = all.get(response.callId());
         boolean invite = response.cseq().method().equals("INVITE");
+        if (through != null && invite) {
+            through.heard = true;
+        }
+        if (invite && response.status() == 100) {
+            // 100 goes one hop only (RFC 3261 16.7), and the front end has said it already.
+            return true;
+        }
         if (through != null && invite && response.status() >= 200) {
             through.stood |= response.success();
             machine.loaded(response, through.group);
@@ -183,15 +232,16 @@
         Via next = response.via();
         byte[] bytes = response.bytes();
         Hop to = backTo(next, null);
-        Work work = invite && response.status() >= 200 ? Work.ANSWER : Work.NOTE;
+        String key = response.status() + next.branch();
         if (invite && response.status() >= 300) {
-            machine.work(Work.REJECT, () -> {
+            queued(key, Work.REJECT, () -> {
                 machine.endpoint().transport().send(bytes, to);
                 // The entry stays for the ACK that must still find its way; the guard takes it away.
                 trunks.free(through == null ? null : through.seizure);
             });
         } else {
-            machine.work(work, () -> machine.endpoint().transport().send(bytes, to));
+            Work work = invite && response.status() >= 200 ? Work.ANSWER : Work.NOTE;
+            queued(key, work, () -> machine.endpoint().transport().send(bytes, to));
         }
         return true;
     }
--- a/src/main/java/martenslip/standin/Processor.java
+++ b/src/main/java/martenslip/standin/Processor.java
@@ -81,10 +81,20 @@
         return pending.size();
     }
 
+    /** A set-up was sent here by a controller; too many while it is cold push it over. */
+    public void sent(Moment now) {
+        recent.add(now);
+        while (now.since(recent.peek()).longerThan(make.fall())) {
+            recent.poll();
+        }
+        double most = make.fallMultiple() * capacity(make) * part(now) * make.fall().ns() / 1e9;
+        // A few more than the budget are chance, not a push.
+        fallen |= cold(now) && recent.size() > most + 3;
+    }
+
     /** When the work will be done; null where it is turned away, which costs work too. */
     public Moment take(Moment now, Work work) {
         if (work.fresh()) {
-            countFresh(now);
             if (wait(now).longerThan(make.mostWait())) {
                 add(now, Work.REJECT);
                 return null;
@@ -99,14 +109,4 @@
         pending.add(busyUntil);
         return busyUntil;
     }
-
-    private void countFresh(Moment now) {
-        recent.add(now);
-        while (now.since(recent.peek()).longerThan(make.fall())) {
-            recent.poll();
-        }
-        double most = make.fallMultiple() * capacity(make) * part(now) * make.fall().ns() / 1e9;
-        // A few more than the budget are chance, not a push.
-        fallen |= cold(now) && recent.size() > most + 3;
-    }
 }
--- a/src/main/java/martenslip/wheel/Wheel.java
+++ b/src/main/java/martenslip/wheel/Wheel.java
@@ -90,8 +90,16 @@
         // After a pause of over a turn each slot needs one look only.
         long from = Math.max(next, last - SLOTS + 1);
         for (long tick = from; tick <= last; tick++) {
-            next = tick;
-            empty(slots[(int) (tick % SLOTS)], last);
+            // What is set while this slot rings goes to a later one, or a timer that sets itself would ring on.
+            next = tick + 1;
+            boolean emptied = false;
+            try {
+                empty(slots[(int) (tick % SLOTS)], last);
+                emptied = true;
+            } finally {
+                // After a fault the rest of the slot is for the next turn.
+                next = emptied ? next : tick;
+            }
         }
         next = Math.max(next, last + 1);
     }
--- /dev/null
+++ b/src/test/java/martenslip/sip/message/ParserTest.java
@@ -0,0 +1,150 @@
+package martenslip.sip.message;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ParserTest {
+    private static final String HEAD = "Via: SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bKa\r\nFrom: <sip:a@127.0.0.1>;tag=f\r\n"
+            + "To: <sip:b@127.0.0.1>\r\nCall-ID: c@127.0.0.1\r\nCSeq: 1 INVITE\r\n";
+
+    private static Parsed parse(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return Parser.datagram(bytes, bytes.length);
+    }
+
+    private static Parsed invite(String more) {
+        return parse("INVITE sip:b@127.0.0.1 SIP/2.0\r\n" + HEAD + more + "\r\n");
+    }
+
+    @Test
+    public void readsCompactFoldedAndJoinedFields() throws BadValue {
+        Parsed parsed = parse("INVITE sip:b%40x@[::1]:5070;lr;x=y?Subject=hi SIP/2.0\r\n"
+                + "v: SIP / 2.0 / UDP 10.0.0.1 ;branch=z9hG4bKa,SIP/2.0/TCP\r\n [::2]:99;branch=z9hG4bKb;rport\r\n"
+                + "f: \"A \\\"quoted, <name>\" <sip:a@h;p=1>;tag=f\r\nt: sip:b@h;tag=t\r\ni: c\r\nCSeq:  7\tINVITE\r\n"
+                + "m: <sip:a@h?X=1,2>;q=0.5, \"x, y\" <sip:z@h>\r\nX-Odd: kept, as it is\r\nk: a, b ,c\r\nl: 4\r\n\r\nbodyrest");
+        assertTrue(parsed.good(), parsed.fault());
+        Request request = (Request) parsed.message();
+        assertEquals(request.target().plainUser(), "b@x");
+        assertEquals(request.target().at(), new HostPort("[::1]", 5070));
+        assertEquals(request.target().headers(), "Subject=hi");
+        assertEquals(request.headers().all("Via").size(), 2);
+        assertEquals(request.via().branch(), "z9hG4bKa");
+        assertEquals(request.via().sentBy().port(), -1);
+        assertEquals(Via.parse(request.headers().all("Via").get(1)).sentBy().bare(), "::2");
+        assertEquals(request.from().tag(), "f");
+        assertEquals(request.from().uri(), "sip:a@h;p=1");
+        assertEquals(request.to().tag(), "t");
+        assertEquals(request.cseq(), new CSeq(7, "INVITE"));
+        assertEquals(request.headers().all("Contact"), List.of("<sip:a@h?X=1,2>;q=0.5", "\"x, y\" <sip:z@h>"));
+        assertEquals(request.headers().all("Supported"), List.of("a", "b", "c"));
+        assertEquals(request.headers().first("X-Odd"), "kept, as it is");
+        assertEquals(new String(request.body(), StandardCharsets.US_ASCII), "body");
+    }
+
+    @DataProvider
+    public Object[][] wrong() {
+        String long9 = "X: " + "y".repeat(Parser.MOST_LINE + 1) + "\r\n";
+        return new Object[][] {
+            {"INVITE sip:b@h SIP/3.0\r\n" + HEAD + "\r\n", 505},
+            {"INVITE tel:123 SIP/2.0\r\n" + HEAD + "\r\n", 416},
+            {"INVITE sip:b@ho st SIP/2.0\r\n" + HEAD + "\r\n", 400},
+            {"INVITE sip:b@:::: SIP/2.0\r\n" + HEAD + "\r\n", 400},
+            {"BYE sip:b@h SIP/2.0\r\n" + HEAD + "\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Content-Length: 9\r\n\r\nshort", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Content-Length: -1\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Content-Length: 99999\r\n\r\n", 413},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Call-ID: second\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Max-Forwards: 256\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Expires: soon\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "no colon here\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Contact: \"open <sip:a@h>\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Route: <sip:a@h\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "Require: a,,b\r\n\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + long9 + "\r\n", 400},
+            {"INVITE sip:b@h SIP/2.0\r\n" + HEAD + "A: b\r\n".repeat(Parser.MOST_LINES) + "\r\n", 400},
+        };
+    }
+
+    @Test(dataProvider = "wrong")
+    public void aWrongRequestGetsItsAnswer(String text, int status) {
+        Parsed parsed = parse(text);
+        assertEquals(parsed.status(), status, parsed.fault());
+        assertTrue(parsed.answerable());
+        assertFalse(parsed.fault().isEmpty());
+    }
+
+    @Test
+    public void whatNobodyCanBeAnsweredForIsNoMessage() {
+        assertNull(parse("").message());
+        assertNull(parse("\r\n\r\n").message());
+        assertNull(parse("nonsense\r\n\r\n").message());
+        assertNull(parse("INVITE sip:b@h SIP/2.0\r\n\r\n").message());
+        assertNull(parse("INVITE sip:b@h HTTP/1.1\r\n" + HEAD + "\r\n").message());
+        assertNull(parse("SIP/2.0 99 Low\r\n" + HEAD + "\r\n").message());
+        assertNull(parse("SIP/2.0 abc\r\n" + HEAD + "\r\n").message());
+        assertFalse(parse("ACK tel:1 SIP/2.0\r\n" + HEAD.replace("INVITE", "ACK") + "\r\n").answerable());
+    }
+
+    @Test
+    public void aResponseMayHaveNoReason() {
+        Response response = (Response) parse("SIP/2.0 200\r\n" + HEAD + "\r\n").message();
+        assertEquals(response.status(), 200);
+        assertEquals(response.reason(), "");
+    }
+
+    @Test
+    public void writingAndReadingAgainChangesNothing() {
+        byte[] once = invite("Contact: <sip:a@h;transport=tcp>\r\nX-Odd: one\r\nX-Odd: two\r\n").message().bytes();
+        byte[] twice = Parser.datagram(once, once.length).message().bytes();
+        assertEquals(new String(twice, StandardCharsets.UTF_8), new String(once, StandardCharsets.UTF_8));
+    }
+
+    /** Damage of all kinds ends in a verdict, never in an exception. */
+    @Test
+    public void nothingThatArrivesThrows() {
+        SplittableRandom chance = new SplittableRandom(11);
+        byte[] good = invite("Contact: \"q\" <sip:a@[::1]:9;x=1>;q=1\r\nRoute: <sip:r@h;lr>\r\nl: 3\r\n\r\nxyz").message()
+                .bytes();
+        for (int i = 0; i < 30_000; i++) {
+            byte[] bytes = good.clone();
+            int length = chance.nextInt(10) == 0 ? chance.nextInt(good.length) : good.length;
+            for (int hit = chance.nextInt(6); hit >= 0; hit--) {
+                bytes[chance.nextInt(bytes.length)] = (byte) (chance.nextInt(3) == 0 ? "\r\n\";<>,:[]@ ="
+                        .charAt(chance.nextInt(12)) : chance.nextInt(256));
+            }
+            Parsed parsed = Parser.datagram(bytes, length);
+            assertTrue(parsed.good() || parsed.status() != 0);
+            if (parsed.good()) {
+                assertNotNull(parsed.message().bytes());
+            }
+        }
+    }
+
+    @Test
+    public void theAnswerBearsWhatTheRequestSaid() throws BadValue {
+        Request request = (Request) invite("Record-Route: <sip:p@h;lr>\r\n").message();
+        Response response = request.answer(180, "Ringing", "tag9");
+        assertEquals(response.to().tag(), "tag9");
+        assertEquals(response.headers().all("Record-Route").size(), 1);
+        assertEquals(response.via(), request.via());
+        assertEquals(request.answer(404, "No", "x").headers().all("Record-Route").size(), 0);
+    }
+
+    @Test
+    public void trunkGroupsStandInTheUserPart() throws BadValue {
+        SipUri uri = SipUri.parse("sip:+914845500001;tgrp=g-0-1;trunk-context=returns.example@127.0.0.1:5060");
+        assertEquals(uri.plainUser(), "+914845500001");
+        assertEquals(uri.userParam("tgrp"), "g-0-1");
+        assertEquals(uri.userParam("trunk-context"), "returns.example");
+        assertNull(uri.userParam("none"));
+    }
+}
