--- a/src/main/java/martenslip/exchange/Exchange.java
+++ b/src/main/java/martenslip/exchange/Exchange.java
@@ -210,6 +210,19 @@
                 + endpoint.calls().transactions().open() + " drops=" + endpoint.drops().counts());
     }
 
+    /** Switches that the exchange knows of. */
+    public int known() {
+        return ask(() -> surroundings.switchboard().all().size());
+    }
+
+    /** Free circuits of the group toward an exchange as they were last told, -1 before that or without a group. */
+    public int free(int far) {
+        return ask(() -> {
+            Switchboard.Circuits circuits = surroundings.switchboard().toward(far);
+            return circuits == null || !circuits.known ? -1 : circuits.free;
+        });
+    }
+
     private <T> T ask(Supplier<T> what) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         endpoint.run(() -> answer.complete(what.get()));
--- a/src/main/java/martenslip/exchange/Surroundings.java
+++ b/src/main/java/martenslip/exchange/Surroundings.java
@@ -86,6 +86,10 @@
         };
     }
 
+    Switchboard switchboard() {
+        return switchboard;
+    }
+
     /** Begins with the list of the last run, which may be stale, and asks for the circuits of the own groups. */
     void start() {
         try {
--- a/src/main/java/martenslip/play/Controllers.java
+++ b/src/main/java/martenslip/play/Controllers.java
@@ -131,7 +131,8 @@
     void start(int exchange) throws IOException, InterruptedException {
         File log = folder.resolve("exchange-" + exchange + ".log").toFile();
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-Xms96m", "-Xmx384m", "-XX:-UsePerfData", "-cp",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms96m", "-Xmx384m", "-XX:-UsePerfData",
+                "-Dmartenslip.log=" + System.getProperty("martenslip.log", "INFO"), "-cp",
                 System.getProperty("java.class.path"), "martenslip.cli.Main", "run", "--figures", "10",
                 file(exchange).toString()).redirectError(ProcessBuilder.Redirect.appendTo(log)).start();
         processes.set(exchange, process);
--- a/src/main/java/martenslip/proof/Drains.java
+++ b/src/main/java/martenslip/proof/Drains.java
@@ -45,6 +45,7 @@
             Told before = told.get(controller + " " + address);
             if (before == null || before.version < version && before.ready != ready) {
                 told.put(controller + " " + address, new Told(ready, version, at));
+                judged += ready ? 0 : 1;
             }
         }
         if (root.text("extent").equals("full") && version >= whole.getOrDefault(controller, 0L)) {
@@ -57,7 +58,6 @@
         if (last == null || last.ready) {
             return;
         }
-        judged++;
         if (at.since(last.at).longerThan(grace)) {
             broken.add("controller " + controller + ": ring to " + to + " " + at.since(last.at).ns() / 1_000_000
                     + " ms after it was told, Call-ID " + invite.callId());
--- a/src/main/java/martenslip/provision/Sheet.java
+++ b/src/main/java/martenslip/provision/Sheet.java
@@ -22,6 +22,7 @@
 import org.xml.sax.SAXParseException;
 import org.xml.sax.XMLReader;
 import org.xml.sax.helpers.DefaultHandler;
+import org.xml.sax.helpers.XMLFilterImpl;
 
 /**
  * Reads an XML file against a schema, whole or not at all. Document types are not read, so neither are entities,
@@ -75,9 +76,24 @@
         validator.setErrorHandler(builder);
         try {
             XMLReader reader = reader();
-            reader.setContentHandler(validator);
-            reader.setErrorHandler(builder);
-            reader.parse(new InputSource(new java.io.ByteArrayInputStream(bytes)));
+            // Names are noted before the validator sees an element, so that its errors bear the element's own path.
+            XMLFilterImpl names = new XMLFilterImpl(reader) {
+                @Override
+                public void startElement(String space, String local, String qualified, Attributes attributes)
+                        throws SAXException {
+                    builder.names.addLast(local);
+                    super.startElement(space, local, qualified, attributes);
+                }
+
+                @Override
+                public void endElement(String space, String local, String qualified) throws SAXException {
+                    super.endElement(space, local, qualified);
+                    builder.names.removeLast();
+                }
+            };
+            names.setContentHandler(validator);
+            names.setErrorHandler(builder);
+            names.parse(new InputSource(new java.io.ByteArrayInputStream(bytes)));
         } catch (SAXParseException e) {
             builder.note(e);
         } catch (SAXException e) {
@@ -111,7 +127,6 @@
 
         @Override
         public void startElement(String space, String local, String qualified, Attributes attributes) {
-            names.addLast(local);
             Node node = new Node(local, path(), locator == null ? 0 : locator.getLineNumber());
             for (int i = 0; i < attributes.getLength(); i++) {
                 node.put(attributes.getLocalName(i), attributes.getValue(i));
@@ -133,7 +148,6 @@
 
         @Override
         public void endElement(String space, String local, String qualified) {
-            names.removeLast();
             open.pop();
         }
 
--- a/src/main/java/martenslip/standin/Callers.java
+++ b/src/main/java/martenslip/standin/Callers.java
@@ -81,6 +81,7 @@
     private final Map<String, Try> standing = new LinkedHashMap<>();
     private double times = 1;
     private boolean dialling;
+    private Moment nextAt;
     private int open;
 
     /** {@code planned} weighs the destinations of each exchange; {@code machines} gives an exchange's switch. */
@@ -135,6 +136,7 @@
     public void begin() {
         endpoint.run(() -> {
             dialling = true;
+            nextAt = now();
             next();
             drift();
         });
@@ -164,8 +166,10 @@
         if (!dialling) {
             return;
         }
+        // From the due time and not from now: turns and pauses must not thin the traffic.
         double gap = -Math.log(1 - chance.nextDouble()) / (ways.rate() * times);
-        endpoint.wheel().after(Span.ofMillis(gap * 1000), () -> {
+        nextAt = nextAt.plus(Span.ofMillis(gap * 1000));
+        endpoint.wheel().at(nextAt, () -> {
             dial();
             next();
         });
@@ -212,12 +216,21 @@
         if (to == from || open >= MOST_OPEN) {
             return;
         }
+        want(from, to, skill);
+    }
+
+    private void want(int from, int to, int skill) {
         String number = ways.prefix() + String.format("%02d%05d", to, chance.nextInt(100_000));
         Want want = new Want(from, to, skill, number, false);
         tally.wanted(want.name());
         new Try(want).start();
     }
 
+    /** One caller of an exchange dials a number of another. */
+    public void dial(int from, int to, int skill) {
+        endpoint.run(() -> want(from, to, skill));
+    }
+
     /** These sessions lost what carried them: their callers hang up and some dial again. */
     public void cut(List<String> sessions) {
         endpoint.run(() -> {
