--- a/src/main/java/martenslip/cli/PlayCommand.java
+++ b/src/main/java/martenslip/cli/PlayCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import martenslip.play.Day;
 import martenslip.play.Play;
@@ -21,12 +22,17 @@
             + "(default: target/play/NAME).")
     private Path into;
 
+    @Option(names = "--java", paramLabel = "OPTIONS", description = "Options of the controllers' virtual machines "
+            + "(default: ${DEFAULT-VALUE}).", defaultValue = "-XX:+UseParallelGC -XX:ParallelGCThreads=2 "
+            + "-XX:TieredStopAtLevel=1 -Xms256m -Xmx512m -Xmn128m")
+    private String options;
+
     @Override
     public Integer call() throws InterruptedException {
         try {
             Day day = Day.read(file);
             Path folder = into != null ? into : Path.of("target", "play", day.name());
-            boolean kept = new Play(day, folder, System.out).run();
+            boolean kept = new Play(day, folder, List.of(options.trim().split(" +")), System.out).run();
             // Stand-ins' readers may still wait on sockets; what was to be said is said.
             System.out.flush();
             return kept ? 0 : 1;
--- a/src/main/java/martenslip/play/Controllers.java
+++ b/src/main/java/martenslip/play/Controllers.java
@@ -24,10 +24,13 @@
     private final Day day;
     private final Plan plan;
     private final Path folder;
+    private final List<String> options;
     private final List<InetSocketAddress> places = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
 
-    Controllers(Day day, Plan plan, Path folder) throws IOException {
+    /** {@code options} go to each controller's virtual machine. */
+    Controllers(Day day, Plan plan, Path folder, List<String> options) throws IOException {
+        this.options = options;
         this.day = day;
         this.plan = plan;
         this.folder = folder;
@@ -136,11 +139,13 @@
     /** Starts the process and waits until it says that it listens. */
     void start(int exchange) throws IOException, InterruptedException {
         File log = folder.resolve("exchange-" + exchange + ".log").toFile();
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms96m", "-Xmx384m", "-XX:-UsePerfData",
-                "-Dmartenslip.log=" + System.getProperty("martenslip.log", "INFO"), "-cp",
-                System.getProperty("java.class.path"), "martenslip.cli.Main", "run", "--figures", "10",
-                file(exchange).toString()).redirectError(ProcessBuilder.Redirect.appendTo(log)).start();
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.addAll(List.of("-XX:-UsePerfData", "-Dmartenslip.log=" + System.getProperty("martenslip.log", "INFO"),
+                "-cp", System.getProperty("java.class.path"), "martenslip.cli.Main", "run", "--figures", "10",
+                file(exchange).toString()));
+        Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log)).start();
         processes.set(exchange, process);
         BufferedReader said = process.inputReader();
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
--- a/src/main/java/martenslip/play/Play.java
+++ b/src/main/java/martenslip/play/Play.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -24,9 +25,12 @@
 
     private final Day day;
     private final Path folder;
+    private final List<String> options;
     private final PrintStream out;
 
-    public Play(Day day, Path folder, PrintStream out) {
+    /** {@code options} go to each controller's virtual machine. */
+    public Play(Day day, Path folder, List<String> options, PrintStream out) {
+        this.options = options;
         this.day = day;
         this.folder = folder;
         this.out = out;
@@ -39,7 +43,7 @@
         Plan plan = new Plan(day);
         int disorderly;
         boolean fell;
-        try (Controllers controllers = new Controllers(day, plan, folder);
+        try (Controllers controllers = new Controllers(day, plan, folder, options);
              World world = new World(day, plan, controllers, capture)) {
             begin(controllers, world);
             double before = controllers.cpuSeconds();
--- a/src/main/java/martenslip/sip/dialog/CallIn.java
+++ b/src/main/java/martenslip/sip/dialog/CallIn.java
@@ -122,6 +122,7 @@
     void acked() {
         if (state == State.ACCEPTED) {
             state = State.CONFIRMED;
+            accepted = null;
             stop();
             if (byeWanted) {
                 sendBye(byeReason);
--- a/src/main/java/martenslip/sip/transaction/ServerTransaction.java
+++ b/src/main/java/martenslip/sip/transaction/ServerTransaction.java
@@ -79,6 +79,8 @@
         } else if (response.success()) {
             if (state != State.ACCEPTED) {
                 state = State.ACCEPTED;
+                // Kept for 64 T1: what is not sent again need not weigh on the heap for so long.
+                last = null;
                 linger(layer.timers.whole());
             }
         } else {
--- a/src/main/java/martenslip/sip/transport/Transport.java
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -37,6 +38,10 @@
     private final Map<Long, Connection> connections = new ConcurrentHashMap<>();
     private final Map<InetSocketAddress, Connection> byPeer = new ConcurrentHashMap<>();
     private final List<AutoCloseable> open = new ArrayList<>();
+    private String host = "";
+    private int udpPort = -1;
+    private int tcpPort = -1;
+    private InetAddress local;
     private DatagramSocket udp;
     private ServerSocket tcp;
     private volatile boolean closing;
@@ -55,11 +60,13 @@
     /** Opens the datagram socket; port 0 takes any. The port that was taken is returned. */
     public int openUdp(InetSocketAddress at) throws IOException {
         udp = new DatagramSocket(at);
+        opened(at.getAddress());
         udp.setReceiveBufferSize(BUFFER);
         udp.setSendBufferSize(BUFFER);
         open.add(udp);
         new Thread(null, this::readDatagrams, name + "-udp", STACK).start();
-        return udp.getLocalPort();
+        udpPort = udp.getLocalPort();
+        return udpPort;
     }
 
     /** Opens the listener; port 0 takes any. The port that was taken is returned. */
@@ -67,22 +74,31 @@
         tcp = new ServerSocket();
         tcp.setReuseAddress(true);
         tcp.bind(at, 128);
+        opened(at.getAddress());
         open.add(tcp);
         new Thread(null, this::accept, name + "-tcp", STACK).start();
-        return tcp.getLocalPort();
+        tcpPort = tcp.getLocalPort();
+        return tcpPort;
     }
 
     public boolean has(Hop.Kind kind) {
         return kind == Hop.Kind.UDP ? udp != null : tcp != null;
     }
 
+    /** The port that was opened; it stays known after the close. */
     public int port(Hop.Kind kind) {
-        return kind == Hop.Kind.UDP ? udp.getLocalPort() : tcp.getLocalPort();
+        return kind == Hop.Kind.UDP ? udpPort : tcpPort;
     }
 
+    /** The address that was opened, an IPv6 one in brackets; it stays known after the close. */
     public String host() {
-        String host = (udp != null ? udp.getLocalAddress() : tcp.getInetAddress()).getHostAddress();
-        return host.indexOf(':') < 0 ? host : "[" + host + "]";
+        return host;
+    }
+
+    private void opened(InetAddress address) {
+        String text = address.getHostAddress();
+        host = text.indexOf(':') < 0 ? text : "[" + text + "]";
+        local = address;
     }
 
     /** Sends a whole message. False where it is known not to go; later trouble comes as {@link Arrival.Broken}. */
@@ -135,7 +151,7 @@
         Socket socket = new Socket();
         try {
             // From the address that is listened on: a peer may know this endpoint by it.
-            socket.bind(new InetSocketAddress((udp != null ? udp.getLocalAddress() : tcp.getInetAddress()), 0));
+            socket.bind(new InetSocketAddress(local, 0));
         } catch (IOException e) {
             drops.count("no local port");
             return null;
