--- a/src/main/java/martenslip/play/Troubles.java
+++ b/src/main/java/martenslip/play/Troubles.java
@@ -94,6 +94,7 @@
     }
 
     private void reset(int exchange) {
+        world.fact("resetting", "number=" + exchange);
         int broken = world.machine(exchange).resetConnections();
         world.fact("reset", "number=" + exchange + " connections=" + broken);
     }
--- a/src/main/java/martenslip/proof/Proof.java
+++ b/src/main/java/martenslip/proof/Proof.java
@@ -37,6 +37,8 @@
                     answers.up(number);
                 }
             }
+            case "resetting" -> answers.resetting(Integer.parseInt(words.get("number")), at);
+            case "reset" -> answers.reset(Integer.parseInt(words.get("number")), at);
             case "machine" -> machines.put(words.get("local"), words.get("at"));
             case "cold" -> cold.started(words.get("at"), at, Double.parseDouble(words.get("capacity")),
                     Double.parseDouble(words.get("from")), Span.ofMillis(Double.parseDouble(words.get("warm-ms"))));
