One place answers requests within a call; a table that nothing read is gone

Both legs of a call had the same checks of order, method and BYE, and the proof of drains kept whole-list versions that it never used.

--- a/src/main/java/martenslip/proof/Drains.java
+++ b/src/main/java/martenslip/proof/Drains.java
@@ -18,7 +18,6 @@
     private record Told(boolean ready, long version, Moment at) { }
 
     private final Map<String, Told> told = new HashMap<>();
-    private final Map<Integer, Long> whole = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     private Span grace = Span.ofMillis(2000);
     private long judged;
@@ -48,9 +47,6 @@
                 judged += ready ? 0 : 1;
             }
         }
-        if (root.text("extent").equals("full") && version >= whole.getOrDefault(controller, 0L)) {
-            whole.put(controller, version);
-        }
     }
 
     void sent(Moment at, int controller, Request invite, String to) {
--- a/src/main/java/martenslip/sip/dialog/CallIn.java
+++ b/src/main/java/martenslip/sip/dialog/CallIn.java
@@ -140,20 +140,15 @@
 
     @Override
     public void requested(ServerTransaction next) throws BadValue {
-        Request request = next.request();
-        if (!dialog.follows(request.cseq().number())) {
-            next.respond(request.answer(500, "CSeq out of order", null));
-        } else if (!request.is("BYE")) {
-            calls.refuseInDialog(next);
+        if (!calls.endedBy(next, dialog)) {
+            return;
+        }
+        if (state == State.OPEN) {
+            // A BYE of an early dialog ends the INVITE too (RFC 3261 15.1.2).
+            refuse(response(487, "Request Terminated"));
+            listener.cancelled();
         } else {
-            next.respond(request.answer(200, "OK", null));
-            if (state == State.OPEN) {
-                // A BYE of an early dialog ends the INVITE too (RFC 3261 15.1.2).
-                refuse(response(487, "Request Terminated"));
-                listener.cancelled();
-            } else {
-                end(Ending.BYE, request);
-            }
+            end(Ending.BYE, next.request());
         }
     }
 
--- a/src/main/java/martenslip/sip/dialog/CallOut.java
+++ b/src/main/java/martenslip/sip/dialog/CallOut.java
@@ -145,17 +145,9 @@
 
     @Override
     public void requested(ServerTransaction next) throws BadValue {
-        Request request = next.request();
-        if (!dialog.follows(request.cseq().number())) {
-            next.respond(request.answer(500, "CSeq out of order", null));
-        } else if (!request.is("BYE")) {
-            calls.refuseInDialog(next);
-        } else {
-            next.respond(request.answer(200, "OK", null));
-            if (state == State.STANDS) {
-                over();
-                listener.ended(Ending.BYE, request);
-            }
+        if (calls.endedBy(next, dialog) && state == State.STANDS) {
+            over();
+            listener.ended(Ending.BYE, next.request());
         }
     }
 
--- a/src/main/java/martenslip/sip/dialog/Calls.java
+++ b/src/main/java/martenslip/sip/dialog/Calls.java
@@ -147,6 +147,21 @@
         }
     }
 
+    /** Answers a request within a dialog; true where it is the BYE that ends it (RFC 3261 12.2.2, 15.1.2). */
+    boolean endedBy(ServerTransaction next, Dialog dialog) throws BadValue {
+        Request request = next.request();
+        if (!dialog.follows(request.cseq().number())) {
+            next.respond(request.answer(500, "CSeq out of order", null));
+            return false;
+        }
+        if (!request.is("BYE")) {
+            refuseInDialog(next);
+            return false;
+        }
+        next.respond(request.answer(200, "OK", null));
+        return true;
+    }
+
     /** Other requests within a call are refused for now: 488 for a re-INVITE, else 405. */
     void refuseInDialog(ServerTransaction transaction) {
         Request request = transaction.request();
