--- a/src/main/java/martenslip/sip/Endpoint.java
+++ b/src/main/java/martenslip/sip/Endpoint.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import martenslip.control.Moment;
-import martenslip.control.Span;
 import martenslip.sip.dialog.CallUser;
 import martenslip.sip.dialog.Calls;
 import martenslip.sip.message.Message;
@@ -48,7 +47,6 @@
     private First first = (message, from) -> false;
     private Runnable after = () -> { };
     private volatile boolean closing;
-    private volatile long turnBegan = System.nanoTime();
 
     public Endpoint(String name, Bounds bounds, Gate gate, Consumer<Throwable> faults) {
         this.name = name;
@@ -131,17 +129,11 @@
         }
     }
 
-    /** Since when the thread is in its present turn; long ago means that it is stalled. Any thread. */
-    public Span turnTakes() {
-        return new Span(System.nanoTime() - turnBegan);
-    }
-
     private void work() {
         while (!closing) {
             try {
                 Object next = inbox.poll(Math.max(REST, wheel.quiet().ns()), TimeUnit.NANOSECONDS);
                 Moment now = new Moment(System.nanoTime());
-                turnBegan = now.ns();
                 guarded(() -> wheel.turn(now));
                 for (int done = 0; next != null && done < BATCH; done++) {
                     take(next);
--- a/src/main/java/martenslip/sip/transaction/ClientTransaction.java
+++ b/src/main/java/martenslip/sip/transaction/ClientTransaction.java
@@ -1,6 +1,5 @@
 package martenslip.sip.transaction;
 
-import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.sip.message.BadValue;
 import martenslip.sip.message.Headers;
@@ -21,7 +20,6 @@
     private final Request request;
     private final Asker asker;
     private final boolean invite;
-    private final Moment began;
     private Hop hop;
     private byte[] bytes;
     private byte[] ack;
@@ -41,7 +39,6 @@
         this.asker = asker;
         invite = request.is("INVITE");
         gap = layer.timers.t1();
-        began = layer.wheel.now();
     }
 
     public Request request() {
@@ -57,10 +54,6 @@
         return state;
     }
 
-    public Moment began() {
-        return began;
-    }
-
     String key() throws BadValue {
         return Transactions.clientKey(request.via().branch(), request.method());
     }
--- a/src/main/java/martenslip/standin/Trunks.java
+++ b/src/main/java/martenslip/standin/Trunks.java
@@ -61,7 +61,6 @@
     public record State(String name, int total, int free, long changes) { }
 
     private final Map<String, Group> groups = new LinkedHashMap<>();
-    private long most;
 
     public synchronized void add(String name, int a, int b, int size) {
         groups.put(name, new Group(name, a, b, size));
@@ -77,7 +76,6 @@
         group.used += width;
         group.changes++;
         group.held.add(seizure);
-        most = Math.max(most, group.used);
         return seizure;
     }
 
@@ -134,10 +132,4 @@
         return groups.values().stream().mapToInt(group -> group.used).sum();
     }
 
-    /** Sessions that hold circuits, for a look at what is left at the end. */
-    public synchronized Set<String> sessions() {
-        Set<String> sessions = new LinkedHashSet<>();
-        groups.values().forEach(group -> group.held.forEach(one -> sessions.add(one.session)));
-        return sessions;
-    }
 }
