--- a/src/main/java/martenslip/exchange/Contacts.java
+++ b/src/main/java/martenslip/exchange/Contacts.java
@@ -1,52 +1,62 @@
 package martenslip.exchange;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BooleanSupplier;
 import martenslip.control.Blame;
 import martenslip.control.Cause;
 import martenslip.control.Moment;
-import martenslip.control.RingEnd;
 import martenslip.control.Span;
 import martenslip.provision.Site;
+import martenslip.roll.LastWord;
+import martenslip.roll.Roll;
 import martenslip.signal.Load;
-import martenslip.signal.Neighbour;
 import martenslip.signal.Release;
 import martenslip.sip.dialog.CallIn;
 import martenslip.sip.dialog.CallOut;
 import martenslip.sip.dialog.Calls;
 import martenslip.sip.dialog.Ending;
+import martenslip.sip.message.BadValue;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
 import martenslip.sip.transaction.Failure;
+import martenslip.sip.transport.Hop;
 
 /**
- * Contacts that were taken, with their callers' legs and rings: carries out the module's orders and tells it what
+ * Contacts of one lane, with their callers' legs and rings: carries out what the decider orders and tells it what
  * became of them. It holds the two rules that a program can hold against its own faults: one final answer, and no
- * second ring beside one that is out.
+ * second ring beside one that is out. Each contact's will is written before a step leaves.
  */
 final class Contacts {
+    /** For how long an INVITE or a BYE that was sent may be repeated: 64 T1. */
+    private static final Span REPEATED = Span.ofMillis(32_000);
+
     private final Site site;
     private final Calls calls;
-    private final Switchboard switchboard;
-    private final Happenings happenings;
+    private final int lane;
+    private final Estate estate;
+    private final Reports reports;
+    private final BooleanSupplier fenced;
     private final Incoming incoming;
     private final RingInvite invites;
     private final EventLog log;
     private final Figures figures;
     private final Map<Long, Taken> open = new LinkedHashMap<>();
-    private long ids;
     private int unanswered;
     private boolean closing;
 
-    Contacts(Site site, Calls calls, Switchboard switchboard, Happenings happenings, EventLog log, Figures figures) {
+    Contacts(Site site, Calls calls, int lane, Estate estate, Reports reports, BooleanSupplier fenced,
+             EventLog log, Figures figures) {
         this.site = site;
         this.calls = calls;
-        this.switchboard = switchboard;
-        this.happenings = happenings;
+        this.lane = lane;
+        this.estate = estate;
+        this.reports = reports;
+        this.fenced = fenced;
         this.log = log;
         this.figures = figures;
-        incoming = new Incoming(site, switchboard);
+        incoming = new Incoming(site);
         invites = new RingInvite(site, calls);
     }
 
@@ -64,30 +74,75 @@
         closing = true;
     }
 
+    private Moment now() {
+        return calls.wheel().now();
+    }
+
     void incoming(CallIn call) {
-        Moment now = calls.wheel().now();
-        if (closing || open.size() >= site.limits().mostOpen()) {
-            figures.refusedUnseen++;
-            log.warn(now, "refused-unseen", "closing", closing, "open", open.size());
-            call.listen(DEAF);
-            call.refuse(unavailable(call, closing ? "Closing" : "Too many contacts", Release.TEMPORARY));
+        if (closing || open.size() >= Math.max(1, site.limits().mostOpen() / site.limits().lanes())) {
+            unseen(call, closing ? "Closing" : "Too many contacts");
             return;
         }
-        Incoming.Read read = incoming.read(call, ids + 1);
+        Incoming.Read read = incoming.read(call, estate::nextId);
         if (read.contact() == null) {
             figures.refusedUnseen++;
-            log.info(now, "not-a-contact", "status", read.status(), "reason", read.reason());
+            log.info(now(), "not-a-contact", "status", read.status(), "reason", read.reason());
             call.listen(DEAF);
             call.refuse(call.response(read.status(), read.reason()));
             return;
         }
-        Taken taken = new Taken(read.contact(), call, read.number(), now);
-        ids++;
-        open.put(ids, taken);
+        Taken taken = new Taken(read.contact(), call, read.number(), now());
+        keep(taken);
+        if (!reports.offered(taken.contact, lane)) {
+            drop(taken);
+            unseen(call, "Too much to decide");
+            return;
+        }
+        enter(taken);
         unanswered++;
         figures.taken++;
         call.listen(new Caller(taken));
-        happenings.add((module, at) -> module.offered(at, taken.contact));
+    }
+
+    private void unseen(CallIn call, String why) {
+        figures.refusedUnseen++;
+        log.warn(now(), "refused-unseen", "why", why, "open", open.size());
+        call.listen(DEAF);
+        call.refuse(unavailable(call, why, Release.TEMPORARY));
+    }
+
+    private void enter(Taken taken) {
+        open.put(taken.contact.id(), taken);
+        if (!taken.answered) {
+            taken.lastWord = calls.wheel().at(LastWord.of(taken.at, taken.contact.patience()), () -> lastWord(taken));
+        }
+    }
+
+    /** The decider has not spoken in time. */
+    private void lastWord(Taken taken) {
+        if (taken.answered) {
+            return;
+        }
+        log.warn(now(), "last-word", "contact", taken.contact.id());
+        abandon(taken.contact.id());
+        Ring ring = taken.live();
+        if (ring != null) {
+            takeBack(taken, ring, new Release(Release.TIMER, "").toString(), Cause.TIMED_OUT);
+        }
+        reports.gone(taken.contact.id());
+    }
+
+    private void keep(Taken taken) {
+        // A thread that was replaced has nothing more to leave to anybody.
+        if (!fenced.getAsBoolean()) {
+            estate.put(taken.will());
+        }
+    }
+
+    private void drop(Taken taken) {
+        if (!fenced.getAsBoolean()) {
+            estate.remove(taken.contact.id());
+        }
     }
 
     private static final CallIn.Listener DEAF = new CallIn.Listener() {
@@ -102,37 +157,37 @@
         }
     };
 
-    void ring(long contact, long target, Span limit) {
+    void ring(long contact, Hands.Send send) {
         Taken taken = open.get(contact);
-        if (taken == null) {
-            log.warn(calls.wheel().now(), "ring-for-unknown", "contact", contact);
+        if (taken == null || send.number() < taken.rings) {
+            // Over, or carried out by the thread before this one.
+            log.info(now(), "ring-not-wanted", "contact", contact, "ring", send.number());
             return;
         }
-        Moment now = calls.wheel().now();
-        Neighbour neighbour = switchboard.neighbour(target);
-        int far = neighbour == null ? -1 : neighbour.line().number();
-        Ring ring = new Ring(taken.rings.size(), target, far, now);
-        Ring out = taken.live();
-        taken.rings.add(ring);
-        boolean may = neighbour != null && out == null && !taken.answered && limit.longerThan(Span.ZERO)
-                && ring.number < site.limits().mostRings();
+        int far = send.to() == null ? -1 : send.to().line().number();
+        Ring ring = new Ring(send.number(), send.target(), far, now(), now().plus(send.limit()));
+        boolean may = send.to() != null && taken.live() == null && !taken.answered
+                && send.limit().longerThan(Span.ZERO) && send.number() < site.limits().mostRings();
+        taken.rings = send.number() + 1;
         if (!may) {
-            end(taken, ring, Outcome.of(Cause.NOT_SENT), Load.NONE);
+            over(taken, ring, Outcome.of(Cause.NOT_SENT), Load.NONE);
             return;
         }
+        taken.ring = ring;
         figures.rings++;
-        Switchboard.Circuits group = switchboard.toward(far);
-        switchboard.seized(far, taken.contact.width());
-        Request invite = invites.build(taken, neighbour, group, limit);
-        ring.limit = calls.wheel().after(limit, () -> gaveUp(taken, ring));
-        ring.silence = calls.wheel().after(site.limits().silence(), () -> silent(taken, ring));
-        ring.call = calls.call(invite, neighbour.hop(), new Answers(taken, ring));
+        Request invite = invites.build(taken, send.to(), send.group(), send.limit());
+        watch(taken, ring);
+        ring.call = calls.call(invite, send.to().hop(), new Answers(taken, ring));
+    }
+
+    private void watch(Taken taken, Ring ring) {
+        ring.limit = calls.wheel().at(ring.until, () -> gaveUp(taken, ring));
+        ring.silence = calls.wheel().at(ring.at.plus(site.limits().silence()), () -> silent(taken, ring));
     }
 
     private void gaveUp(Taken taken, Ring ring) {
         if (!ring.stood && !ring.told) {
-            ring.call.cancel(new Release(Release.TIMER, "").toString());
-            end(taken, ring, Outcome.of(Cause.TIMED_OUT), Load.NONE);
+            takeBack(taken, ring, new Release(Release.TIMER, "").toString(), Cause.TIMED_OUT);
         }
     }
 
@@ -143,39 +198,47 @@
         }
     }
 
+    private void takeBack(Taken taken, Ring ring, String reason, Cause cause) {
+        ring.call.cancel(reason);
+        end(taken, ring, Outcome.of(cause), Load.NONE);
+    }
+
     void callOff(long contact, int number) {
         Taken taken = open.get(contact);
         Ring ring = taken == null ? null : taken.ring(number);
         if (ring != null && !ring.told && !ring.stood && ring.call != null) {
-            ring.call.cancel("SIP;cause=487;text=\"Called off\"");
-            end(taken, ring, Outcome.of(Cause.CALLED_OFF), Load.NONE);
+            takeBack(taken, ring, "SIP;cause=487;text=\"Called off\"", Cause.CALLED_OFF);
         }
     }
 
     void defer(long contact, Span comeBack) {
-        answer(contact, taken -> {
-            figures.deferred++;
-            int cause = taken.last == Blame.PROCESSOR ? Release.CONGESTION : Release.NO_CIRCUIT;
-            Response response = unavailable(taken.caller, "Deferred", cause);
-            if (taken.contact.inTransit()) {
-                String place = cause == Release.CONGESTION ? Release.BEYOND : Release.TRANSIT;
-                response.headers().set("Reason", new Release(cause, place));
-            }
-            if (comeBack.longerThan(Span.ZERO)) {
-                response.headers().add("Retry-After", Math.max(1, Math.round(comeBack.ns() / 1e9)));
-            }
-            taken.caller.refuse(response);
-        });
+        Taken taken = open.get(contact);
+        if (taken == null || taken.answered) {
+            return;
+        }
+        figures.deferred++;
+        int cause = taken.last == Blame.PROCESSOR ? Release.CONGESTION : Release.NO_CIRCUIT;
+        Response response = unavailable(taken.caller, "Deferred", cause);
+        if (taken.contact.inTransit()) {
+            String place = cause == Release.CONGESTION ? Release.BEYOND : Release.TRANSIT;
+            response.headers().set("Reason", new Release(cause, place));
+        }
+        if (comeBack.longerThan(Span.ZERO)) {
+            response.headers().add("Retry-After", Math.max(1, Math.round(comeBack.ns() / 1e9)));
+        }
+        refuse(taken, response);
     }
 
     void abandon(long contact) {
-        answer(contact, taken -> {
-            figures.abandoned++;
-            Response response = taken.caller.response(504, "Abandoned");
-            String place = taken.contact.inTransit() ? Release.TRANSIT : "";
-            response.headers().add("Reason", new Release(Release.TIMER, place));
-            taken.caller.refuse(response);
-        });
+        Taken taken = open.get(contact);
+        if (taken == null || taken.answered) {
+            return;
+        }
+        figures.abandoned++;
+        Response response = taken.caller.response(504, "Abandoned");
+        String place = taken.contact.inTransit() ? Release.TRANSIT : "";
+        response.headers().add("Reason", new Release(Release.TIMER, place));
+        refuse(taken, response);
     }
 
     private static Response unavailable(CallIn call, String reason, int cause) {
@@ -184,53 +247,59 @@
         return response;
     }
 
-    private void answer(long contact, Consumer<Taken> how) {
-        Taken taken = open.get(contact);
-        if (taken != null && !taken.answered) {
-            closed(taken);
-            how.accept(taken);
-            forget(taken);
-        }
+    private void refuse(Taken taken, Response response) {
+        closed(taken, response);
+        taken.caller.refuse(response);
+        taken.sent = true;
+        keep(taken);
+        forget(taken);
     }
 
-    private void closed(Taken taken) {
+    /** Before the final answer leaves. */
+    private void closed(Taken taken, Response response) {
         taken.answered = true;
+        taken.answer = response.copy();
+        keep(taken);
         unanswered--;
-        figures.answered(calls.wheel().now().since(taken.at));
+        if (taken.lastWord != null) {
+            taken.lastWord.cancel();
+        }
+        figures.answered(now().since(taken.at));
     }
 
     private void forget(Taken taken) {
         if (taken.answered && taken.live() == null) {
             open.remove(taken.contact.id());
+            if (taken.forgotten) {
+                // The BYE that ended it may yet have to be sent by a successor.
+                calls.wheel().loosely(REPEATED, () -> drop(taken));
+            }
         }
     }
 
-    /** Tells the module once of the ring's outcome. */
+    /** Tells the decider once of the ring's outcome. */
     private void end(Taken taken, Ring ring, Outcome outcome, Load load) {
         if (ring.told) {
             return;
         }
         ring.told = true;
         ring.stopTimers();
-        boolean sent = ring.call != null;
-        Switchboard.Circuits group = switchboard.toward(ring.far);
-        if (sent && group != null) {
-            switchboard.freed(ring.far, taken.contact.width());
-        }
         taken.last = outcome.blame();
-        int free = group == null ? 0 : group.free;
-        int total = group == null ? 0 : group.total;
-        float[] report = load.report(free, total, site.reports());
-        Span took = calls.wheel().now().since(ring.at);
-        boolean answered = taken.answered;
-        RingEnd end = new RingEnd(taken.contact.id(), ring.number, ring.target, outcome.cause(), outcome.blame(),
-                took, outcome.stayAway(), answered, report);
-        log.debug(calls.wheel().now(), "ring-ended", "contact", end.contact(), "ring", ring.number, "far", ring.far,
-                "cause", outcome.cause(), "blame", outcome.blame());
-        happenings.add((module, at) -> module.ringEnded(at, end));
+        boolean holds = outcome.cause() == Cause.TIMED_OUT || outcome.cause() == Cause.CUT
+                || outcome.cause() == Cause.CALLED_OFF;
+        taken.heldUntil = holds ? now() : taken.heldUntil;
+        keep(taken);
+        over(taken, ring, outcome, load);
         forget(taken);
     }
 
+    private void over(Taken taken, Ring ring, Outcome outcome, Load load) {
+        log.debug(now(), "ring-ended", "contact", taken.contact.id(), "ring", ring.number, "far", ring.far,
+                "cause", outcome.cause(), "blame", outcome.blame());
+        reports.ringOver(new Reports.RingOver(taken.contact.id(), ring.number, ring.target, ring.far,
+                taken.contact.width(), outcome, now().since(ring.at), taken.answered, load));
+    }
+
     /** The caller's side. */
     private final class Caller implements CallIn.Listener {
         private final Taken taken;
@@ -239,24 +308,48 @@
             this.taken = taken;
         }
 
+        @Override
+        public void leaving(Response last) {
+            if (!taken.answered) {
+                closed(taken, last);
+            }
+        }
+
         @Override
         public void cancelled() {
-            closed(taken);
             figures.callerGone++;
-            happenings.add((module, at) -> module.callerGone(at, taken.contact.id()));
+            taken.sent = true;
+            keep(taken);
+            reports.gone(taken.contact.id());
             // A ring that is out is called off by the module; without one nothing is left to wait for.
             forget(taken);
         }
 
+        @Override
+        public void confirmed() {
+            taken.confirmed = true;
+            keep(taken);
+        }
+
         @Override
         public void ended(Ending why, Request bye) {
             Ring ring = taken.live();
             if (ring != null) {
                 Outcome outcome = Outcome.ofEnd(bye, Cause.CALLED_OFF);
+                taken.bye = Will.Bye.RING;
+                keep(taken);
                 ring.call.bye(passedOn(bye, outcome));
                 end(taken, ring, outcome, Load.NONE);
             }
         }
+
+        @Override
+        public void forgotten() {
+            taken.forgotten = true;
+            if (!open.containsKey(taken.contact.id())) {
+                drop(taken);
+            }
+        }
     }
 
     private static String passedOn(Request bye, Outcome outcome) {
@@ -277,6 +370,13 @@
             this.ring = ring;
         }
 
+        @Override
+        public void leaving(Request invite, Hop to) {
+            ring.invite = invite.copy();
+            ring.hop = to;
+            keep(taken);
+        }
+
         @Override
         public void progress(Response response) {
             if (response.status() > 100 && !ring.told) {
@@ -293,16 +393,12 @@
                 return;
             }
             ring.stood = true;
-            closed(taken);
-            figures.stood(calls.wheel().now().since(taken.at));
-            taken.caller.accept(invites.passedOn(taken, response));
-            Span took = calls.wheel().now().since(ring.at);
-            happenings.add((module, at) ->
-                    module.stands(at, taken.contact.id(), ring.number, ring.target, took));
-            Load load = Load.of(response);
-            if (load != Load.NONE && load.total() >= 0) {
-                report(ring, load);
-            }
+            ring.okay = response;
+            Response passed = invites.passedOn(taken, response);
+            closed(taken, passed);
+            figures.stood(now().since(taken.at));
+            taken.caller.accept(passed);
+            reports.stood(taken.contact.id(), ring.number, ring.target, now().since(ring.at), Load.of(response));
         }
 
         @Override
@@ -318,13 +414,90 @@
         @Override
         public void ended(Ending why, Request bye) {
             Outcome outcome = Outcome.ofEnd(bye, Cause.CONCLUDED);
+            taken.bye = Will.Bye.CALLER;
+            keep(taken);
             taken.caller.bye(passedOn(bye, outcome));
             end(taken, ring, outcome, Load.NONE);
         }
     }
 
-    private void report(Ring ring, Load load) {
-        float[] report = load.report(load.spare(), load.total(), site.reports());
-        happenings.add((module, at) -> module.reported(at, ring.target, true, Span.ZERO, report));
+    /** Goes on with what the thread before this one held, and tells the decider of it. Before any other work. */
+    void inherit() {
+        for (Will will : estate.wills()) {
+            try {
+                inherit(will);
+            } catch (BadValue e) {
+                log.warn(now(), "will-not-read", "contact", will.contact().id(), "why", e.getMessage());
+            }
+        }
+        tellHeld();
+    }
+
+    /** Tells the decider of all that is open here. */
+    void tellHeld() {
+        List<Roll.Held> held = open.values().stream().map(taken -> taken.will().held()).toList();
+        reports.inherited(lane, held);
+    }
+
+    private void inherit(Will will) throws BadValue {
+        boolean stood = will.answer() != null && will.answer().success();
+        boolean quiet = stood && (will.confirmed() || will.bye() == Will.Bye.RING);
+        CallIn caller = calls.takeOver(will.invite(), will.from(), will.tag(), quiet);
+        if (caller == null) {
+            return;
+        }
+        Taken taken = new Taken(will.contact(), caller, will.number(), will.at());
+        taken.rings = will.rings();
+        taken.heldUntil = will.heldUntil();
+        taken.last = will.last();
+        taken.answered = will.answered();
+        taken.answer = will.answer();
+        taken.sent = will.sent();
+        taken.confirmed = will.confirmed();
+        taken.bye = will.bye();
+        caller.listen(new Caller(taken));
+        Ring ring = will.out() == null ? null : ring(taken, will.out());
+        if (!will.answered() || ring != null && !ring.told) {
+            enter(taken);
+        }
+        unanswered += will.answered() ? 0 : 1;
+        if (will.answered() && will.answer() != null) {
+            again(taken, stood, quiet);
+        }
+        if (will.bye() == Will.Bye.CALLER) {
+            caller.bye(null);
+        }
+    }
+
+    private void again(Taken taken, boolean stood, boolean quiet) {
+        Response answer = taken.answer.copy();
+        if (stood && !quiet) {
+            taken.caller.accept(answer);
+        } else if (!stood && taken.sent) {
+            taken.caller.refusedAlready(answer);
+        } else if (!stood) {
+            taken.caller.refuse(answer);
+            taken.sent = true;
+            keep(taken);
+        }
+    }
+
+    private Ring ring(Taken taken, Will.Out out) throws BadValue {
+        Ring ring = new Ring(out.number(), out.target(), out.far(), out.at(), out.until());
+        ring.invite = out.invite();
+        ring.hop = out.hop();
+        ring.okay = out.stood();
+        ring.stood = out.stood() != null;
+        taken.ring = ring;
+        ring.call = calls.takeOver(out.invite().copy(), out.hop(), out.stood(), new Answers(taken, ring));
+        if (taken.bye == Will.Bye.RING) {
+            ring.told = true;
+            ring.call.bye(null);
+        } else if (taken.bye == Will.Bye.CALLER) {
+            ring.told = true;
+        } else if (!ring.stood) {
+            watch(taken, ring);
+        }
+        return ring;
     }
 }
--- /dev/null
+++ b/src/main/java/martenslip/exchange/Estate.java
@@ -0,0 +1,62 @@
+package martenslip.exchange;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * What of a lane outlives its thread: the wills of its contacts, the count of its ids and the figures of the threads
+ * that were replaced. The lane's thread writes; a successor reads once that thread has been fenced. Bounded by the
+ * contacts that are open and those whose INVITE may still be repeated.
+ */
+final class Estate {
+    private final int lane;
+    private final int lanes;
+    private final AtomicLong count = new AtomicLong();
+    private final Map<Long, Will> wills = new ConcurrentHashMap<>();
+    private final List<Figures> past = new ArrayList<>();
+
+    Estate(int lane, int lanes) {
+        this.lane = lane;
+        this.lanes = lanes;
+    }
+
+    /** Ids tell their lane: see {@link #laneOf}. */
+    long nextId() {
+        return count.incrementAndGet() * lanes + lane;
+    }
+
+    static int laneOf(long contact, int lanes) {
+        return (int) (contact % lanes);
+    }
+
+    void put(Will will) {
+        wills.put(will.contact().id(), will);
+    }
+
+    void remove(long contact) {
+        wills.remove(contact);
+    }
+
+    int size() {
+        return wills.size();
+    }
+
+    /** In the order in which they were taken. */
+    List<Will> wills() {
+        List<Will> all = new ArrayList<>(wills.values());
+        all.sort(Comparator.comparing(will -> will.contact().id()));
+        return all;
+    }
+
+    synchronized void past(Figures figures) {
+        past.add(figures);
+    }
+
+    synchronized void addPast(Figures sum) {
+        past.forEach(sum::add);
+    }
+}
--- a/src/main/java/martenslip/exchange/Exchange.java
+++ b/src/main/java/martenslip/exchange/Exchange.java
@@ -1,59 +1,55 @@
 package martenslip.exchange;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Instant;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Supplier;
-import martenslip.control.Controller;
+import java.util.function.Function;
 import martenslip.control.Moment;
-import martenslip.control.Orders;
 import martenslip.control.Span;
 import martenslip.provision.Site;
 import martenslip.signal.SwitchText;
-import martenslip.sip.Endpoint;
-import martenslip.sip.dialog.CallIn;
-import martenslip.sip.dialog.CallUser;
-import martenslip.sip.message.BadValue;
-import martenslip.sip.transaction.ServerTransaction;
-import martenslip.sip.transaction.Timers;
 import martenslip.sip.transport.Bounds;
 import martenslip.sip.transport.Gate;
 import martenslip.sip.transport.Hop;
+import martenslip.sip.transport.Transport;
 
 /**
- * One exchange's call controller: sockets, the module and what stands between. All but {@link #start},
- * {@link #drain}, {@link #figures} and {@link #close} runs on its endpoint's thread.
+ * One exchange's call controller: sockets, lanes, the decider and the look-out over their threads. Any thread may
+ * call its methods.
  */
 public final class Exchange implements AutoCloseable {
     /** How late the module may hear a clock: collectors were seen to pause a busy process by 20 to 60 ms. */
     public static final Span ROUND = Span.ofMillis(25);
-    private static final int TRANSACTIONS_A_CONTACT = 8;
 
     private final Site site;
-    private final Endpoint endpoint;
+    private final Maker maker;
     private final EventLog log;
-    private final Figures figures = new Figures();
     private final KeptList kept;
-    private final Maker maker;
-    private Contacts contacts;
-    private Surroundings surroundings;
-    private Happenings happenings;
+    private final Transport transport;
+    private final Crew crew;
 
     public Exchange(Site site, Maker maker) {
         this.site = site;
         this.maker = maker;
         log = new EventLog(site.number());
-        endpoint = new Endpoint("exchange-" + site.number(), Bounds.USUAL, Gate.OPEN, this::fault);
         kept = new KeptList(site.kept(), this::trouble);
+        Intake intake = new Intake(site.limits().lanes());
+        transport = new Transport("exchange-" + site.number(), Bounds.USUAL, intake, Gate.OPEN);
+        intake.drops(transport.drops());
+        SwitchText text = new SwitchText(site.regions(), new Moment(System.nanoTime()), Instant.now());
+        crew = new Crew(new Lane.Common(site, transport, new Known(), kept, text, log), maker, this::fault,
+                // Never from the configured seed: a restart would use the branches and tags of its last run again.
+                new SecureRandom().nextLong());
+        intake.to(crew::post);
     }
 
     private void fault(Throwable fault) {
+        transport.drops().count("fault");
         org.slf4j.LoggerFactory.getLogger("martenslip.exchange").error("fault", fault);
     }
 
@@ -68,169 +64,101 @@
         } catch (RuntimeException e) {
             trouble("not warmed: " + e);
         }
-        endpoint.open(site.udp(), site.tcp());
-        CountDownLatch ready = new CountDownLatch(1);
-        Moment now = new Moment(System.nanoTime());
-        Instant wall = Instant.now();
-        // Never from the configured seed: a restart would then use the branches and tags of its last run again.
-        int transactions = Math.min(1 << 20, site.limits().mostOpen() * TRANSACTIONS_A_CONTACT);
-        endpoint.start(user(), (message, from) -> false, this::tellModule, Timers.QUICK,
-                new SecureRandom().nextLong(), transactions);
-        endpoint.run(() -> {
-            begin(new SwitchText(site.regions(), now, wall));
-            ready.countDown();
-        });
-        try {
-            ready.await(10, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void begin(SwitchText text) {
-        Switchboard switchboard = new Switchboard(site);
-        Deferring orders = new Deferring();
-        Controller module = maker.make(site.settings(ROUND), site.seed(), endpoint.wheel().now(), orders);
-        happenings = new Happenings(module);
-        contacts = new Contacts(site, endpoint.calls(), switchboard, happenings, log, figures);
-        surroundings = new Surroundings(site, endpoint.calls(), switchboard, happenings, text, kept, log);
-        surroundings.start();
-        orders.begin();
-    }
-
-    private void tellModule() {
-        if (happenings != null) {
-            happenings.tellAll(endpoint.wheel().now());
-        }
+        open(site.udp(), site.tcp());
+        crew.start();
     }
 
-    private CallUser user() {
-        return new CallUser() {
-            @Override
-            public void incoming(CallIn call) {
-                contacts.incoming(call);
-            }
-
-            @Override
-            public void requested(ServerTransaction transaction) {
-                try {
-                    surroundings.requested(transaction);
-                } catch (BadValue e) {
-                    transaction.respond(transaction.request().answer(400, "Unreadable value", null));
-                }
-            }
-
-            @Override
-            public void broken(Hop hop, boolean everUp) {
-                log.info(endpoint.wheel().now(), "connection-ended", "hop", hop, "ever_up", everUp);
-            }
-
-            @Override
-            public Set<String> methods() {
-                return Set.of("NOTIFY", "MESSAGE", "OPTIONS");
-            }
-        };
-    }
-
-    /** The module's orders, carried out at once; those of its making wait until all parts stand. */
-    private final class Deferring implements Orders {
-        private boolean begun;
-        private boolean listWanted;
-
-        void begin() {
-            begun = true;
-            if (listWanted) {
-                surroundings.watchList(true);
-            }
-        }
-
-        @Override
-        public void ring(long contact, long target, Span limit) {
-            contacts.ring(contact, target, limit);
-        }
-
-        @Override
-        public void callOff(long contact, int ring) {
-            contacts.callOff(contact, ring);
-        }
-
-        @Override
-        public void defer(long contact, Span comeBack) {
-            contacts.defer(contact, comeBack);
-        }
-
-        @Override
-        public void abandon(long contact) {
-            contacts.abandon(contact);
+    private void open(InetSocketAddress udp, InetSocketAddress tcp) throws IOException {
+        if (udp != null) {
+            transport.openUdp(udp);
         }
-
-        @Override
-        public void clock(Span delay, long token) {
-            endpoint.wheel().after(delay, () -> happenings.add((module, at) -> module.clockRung(at, token)));
-        }
-
-        @Override
-        public void probe(long target) {
-            surroundings.probe(target);
-        }
-
-        @Override
-        public void note(int peer, byte[] note) {
-            surroundings.note(peer, note);
-        }
-
-        @Override
-        public void askList() {
-            surroundings.askList();
-        }
-
-        @Override
-        public void watchList(boolean on) {
-            if (begun) {
-                surroundings.watchList(on);
-            } else {
-                listWanted = on;
-            }
-        }
-
-        @Override
-        public void log(String line) {
-            log.info(endpoint.wheel().now(), "module", "line", line);
+        if (tcp != null) {
+            transport.openTcp(tcp);
         }
     }
 
     /** The port that was opened for this transport, or -1. */
     public int port(Hop.Kind kind) {
-        return endpoint.transport().has(kind) ? endpoint.transport().port(kind) : -1;
+        return transport.has(kind) ? transport.port(kind) : -1;
     }
 
     public String host() {
-        return endpoint.transport().host();
+        return transport.host();
     }
 
-    /** Counts so far, one line, read by the owning thread. */
+    /** Counts so far, one line. */
     public String figures() {
-        return ask(() -> figures.line(contacts.unanswered()) + " standing="
-                + (contacts.open() - contacts.unanswered()) + " transactions="
-                + endpoint.calls().transactions().open() + " drops=" + endpoint.drops().counts());
+        Figures sum = new Figures();
+        int[] counts = new int[3];
+        for (int i = 0; i < site.limits().lanes(); i++) {
+            crew.estate(i).addPast(sum);
+            ask(i, lane -> {
+                sum.add(lane.figures);
+                counts[0] += lane.contacts.unanswered();
+                counts[1] += lane.contacts.open();
+                counts[2] += lane.calls().transactions().open();
+                return true;
+            });
+        }
+        return sum.line(counts[0]) + " standing=" + (counts[1] - counts[0]) + " transactions=" + counts[2]
+                + " replaced=" + crew.replaced() + " drops=" + transport.drops().counts();
+    }
+
+    /** Contacts that are open or were answered of late, on all lanes. */
+    public int kept() {
+        int all = 0;
+        for (int i = 0; i < site.limits().lanes(); i++) {
+            all += crew.estate(i).size();
+        }
+        return all;
     }
 
     /** Switches that the exchange knows of. */
     public int known() {
-        return ask(() -> surroundings.switchboard().all().size());
+        return askDecider(decider -> decider.switchboard().all().size());
+    }
+
+    /** Contacts that the module may still speak of. */
+    public int onRoll() {
+        return askDecider(Decider::size);
     }
 
     /** Free circuits of the group toward an exchange as they were last told, -1 before that or without a group. */
     public int free(int far) {
-        return ask(() -> {
-            Switchboard.Circuits circuits = surroundings.switchboard().toward(far);
+        return askDecider(decider -> {
+            Switchboard.Circuits circuits = decider.switchboard().toward(far);
             return circuits == null || !circuits.known ? -1 : circuits.free;
         });
     }
 
-    private <T> T ask(Supplier<T> what) {
+    /** Threads that were replaced since the start. */
+    public long replaced() {
+        return crew.replaced();
+    }
+
+    /** Lanes, each a thread of its own; the decider has one more where there are several. */
+    public int lanes() {
+        return site.limits().lanes();
+    }
+
+    /** Plants a stall in a lane's thread, or in the decider's where {@code lane} is the number of lanes. */
+    public void plant(int lane, Span span, boolean amidSend) {
+        crew.plant(lane, span, amidSend ? Planted.Place.SENDING : Planted.Place.BETWEEN);
+    }
+
+    private <T> T ask(int lane, Function<Lane, T> what) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        endpoint.run(() -> answer.complete(what.get()));
+        crew.tell(lane, one -> answer.complete(what.apply(one)));
+        return await(answer);
+    }
+
+    private <T> T askDecider(Function<Decider, T> what) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        crew.tellDecider(one -> answer.complete(what.apply(one)));
+        return await(answer);
+    }
+
+    private static <T> T await(CompletableFuture<T> answer) {
         try {
             return answer.get(5, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
@@ -246,25 +174,27 @@
      * left standing. True where nothing is owed any more.
      */
     public boolean drain(Span most) throws InterruptedException {
-        endpoint.run(contacts::close);
+        crew.closing();
         long end = System.nanoTime() + most.ns();
         boolean owed = true;
         while (owed && System.nanoTime() < end) {
-            owed = ask(contacts::unanswered) > 0;
+            owed = false;
+            for (int i = 0; i < site.limits().lanes(); i++) {
+                owed |= ask(i, lane -> lane.contacts.unanswered()) > 0;
+            }
             if (owed) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
         }
-        endpoint.run(() -> {
-            surroundings.stop();
-            happenings.add(Controller::stopped);
-        });
+        crew.tell(0, lane -> lane.surroundings.stop());
+        crew.tellDecider(Decider::stop);
         return !owed;
     }
 
     @Override
     public void close() {
-        endpoint.close();
+        transport.close();
+        crew.close();
         try {
             kept.close();
         } catch (InterruptedException e) {
--- a/src/main/java/martenslip/exchange/Figures.java
+++ b/src/main/java/martenslip/exchange/Figures.java
@@ -28,6 +28,19 @@
         setUp.recordValue(micros(took));
     }
 
+    /** Adds the counts and spans of another. */
+    void add(Figures other) {
+        taken += other.taken;
+        stood += other.stood;
+        deferred += other.deferred;
+        abandoned += other.abandoned;
+        callerGone += other.callerGone;
+        refusedUnseen += other.refusedUnseen;
+        rings += other.rings;
+        setUp.add(other.setUp);
+        answer.add(other.answer);
+    }
+
     private static long micros(Span span) {
         return Math.max(0, Math.min(MOST_MICROS, span.ns() / 1000));
     }
--- a/src/main/java/martenslip/exchange/Happenings.java
+++ b/src/main/java/martenslip/exchange/Happenings.java
@@ -1,8 +1,7 @@
 package martenslip.exchange;
 
 import java.util.ArrayDeque;
-import java.util.function.BiConsumer;
-import martenslip.control.Controller;
+import java.util.function.Consumer;
 import martenslip.control.Moment;
 
 /**
@@ -10,17 +9,10 @@
  * another, as an order that fails at once would else come back to it out of turn. Bounded by what is open.
  */
 final class Happenings {
-    interface Telling extends BiConsumer<Controller, Moment> { }
-
-    private final ArrayDeque<Telling> waiting = new ArrayDeque<>();
-    private final Controller controller;
+    private final ArrayDeque<Consumer<Moment>> waiting = new ArrayDeque<>();
     private boolean telling;
 
-    Happenings(Controller controller) {
-        this.controller = controller;
-    }
-
-    void add(Telling one) {
+    void add(Consumer<Moment> one) {
         waiting.add(one);
     }
 
@@ -31,7 +23,7 @@
         telling = true;
         try {
             while (!waiting.isEmpty()) {
-                waiting.poll().accept(controller, now);
+                waiting.poll().accept(now);
             }
         } finally {
             telling = false;
--- a/src/main/java/martenslip/exchange/Incoming.java
+++ b/src/main/java/martenslip/exchange/Incoming.java
@@ -1,5 +1,8 @@
 package martenslip.exchange;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
 import martenslip.control.Contact;
 import martenslip.control.Span;
 import martenslip.provision.Site;
@@ -22,14 +25,15 @@
     }
 
     private final Site site;
-    private final Switchboard switchboard;
+    private final Map<String, Site.Group> groups = new HashMap<>();
 
-    Incoming(Site site, Switchboard switchboard) {
+    Incoming(Site site) {
         this.site = site;
-        this.switchboard = switchboard;
+        site.groups().values().forEach(group -> groups.put(group.name(), group));
     }
 
-    Read read(CallIn call, long id) {
+    /** {@code id} is asked for a number once the INVITE proves to name a contact. */
+    Read read(CallIn call, LongSupplier id) {
         Request invite = call.invite();
         try {
             String number = invite.target().plainUser();
@@ -49,7 +53,7 @@
             Skill is = site.skills().get(skill);
             Span patience = patience(invite).most(is.patience());
             String again = invite.headers().first(Fields.AGAIN);
-            Contact contact = new Contact(id, skill, Long.parseLong(number), destination, from,
+            Contact contact = new Contact(id.getAsLong(), skill, Long.parseLong(number), destination, from,
                     is.width(), patience, again != null, from >= 0, "cut".equals(again));
             return new Read(contact, number, 0, "");
         } catch (BadValue e) {
@@ -67,8 +71,9 @@
         if (!site.trunkContext().equals(uri.userParam("trunk-context"))) {
             return -1;
         }
-        Switchboard.Circuits group = switchboard.named(uri.userParam("tgrp"));
-        return group == null ? -1 : group.group.far();
+        String name = uri.userParam("tgrp");
+        Site.Group group = name == null ? null : groups.get(name);
+        return group == null ? -1 : group.far();
     }
 
     /** A value that no skill bears is passed over (RFC 4412 4.6.2). */
--- /dev/null
+++ b/src/main/java/martenslip/exchange/Reports.java
@@ -0,0 +1,38 @@
+package martenslip.exchange;
+
+import java.util.List;
+import martenslip.control.Contact;
+import martenslip.control.Controller.ListKind;
+import martenslip.control.Span;
+import martenslip.roll.Roll;
+import martenslip.signal.Load;
+import martenslip.signal.Neighbour;
+import martenslip.signal.SwitchText;
+
+/** What lanes tell the decider. Rings bear the lane's numbers. */
+interface Reports {
+    /** False where no more can be taken: the contact is then refused at once. */
+    boolean offered(Contact contact, int lane);
+
+    void stood(long contact, int ring, long target, Span took, Load load);
+
+    void ringOver(RingOver over);
+
+    /** The caller is gone, or the lane had the last word. */
+    void gone(long contact);
+
+    /** All that the lane holds, after its thread or the decider's was replaced. */
+    void inherited(int lane, List<Roll.Held> held);
+
+    void listed(ListKind kind, List<Neighbour> lines);
+
+    void circuits(List<SwitchText.GroupState> groups);
+
+    void probed(long target, boolean reached, Span took, Load load);
+
+    void noted(int peer, byte[] note);
+
+    /** The one outcome of a ring. */
+    record RingOver(long contact, int ring, long target, int far, int width, Outcome outcome, Span took,
+                    boolean answered, Load load) { }
+}
--- a/src/main/java/martenslip/exchange/Ring.java
+++ b/src/main/java/martenslip/exchange/Ring.java
@@ -2,25 +2,34 @@
 
 import martenslip.control.Moment;
 import martenslip.sip.dialog.CallOut;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.transport.Hop;
 import martenslip.wheel.Wheel;
 
-/** A ring of a contact toward one switch. {@code told} says that the module knows its outcome. */
+/** A ring of a contact toward one switch. {@code told} says that the decider knows its outcome. */
 final class Ring {
     final int number;
     final long target;
     final int far;
     final Moment at;
+    final Moment until;
     CallOut call;
     Wheel.Timer limit;
     Wheel.Timer silence;
     boolean stood;
     boolean told;
+    /** As it left, and its 2xx: for the contact's will. */
+    Request invite;
+    Hop hop;
+    Response okay;
 
-    Ring(int number, long target, int far, Moment at) {
+    Ring(int number, long target, int far, Moment at, Moment until) {
         this.number = number;
         this.target = target;
         this.far = far;
         this.at = at;
+        this.until = until;
     }
 
     void stopTimers() {
@@ -29,4 +38,8 @@
             silence.cancel();
         }
     }
+
+    Will.Out out() {
+        return invite == null ? null : new Will.Out(number, target, far, at, until, invite, hop, okay);
+    }
 }
--- a/src/main/java/martenslip/exchange/RingInvite.java
+++ b/src/main/java/martenslip/exchange/RingInvite.java
@@ -21,10 +21,10 @@
         this.calls = calls;
     }
 
-    Request build(Taken taken, Neighbour to, Switchboard.Circuits group, Span limit) {
+    Request build(Taken taken, Neighbour to, Site.Group group, Span limit) {
         Request caller = taken.caller.invite();
         String trunk = group == null ? ""
-                : ";tgrp=" + group.group.name() + ";trunk-context=" + site.trunkContext();
+                : ";tgrp=" + group.name() + ";trunk-context=" + site.trunkContext();
         HostPort at = to.uri().at();
         SipUri uri = SipUri.of(taken.number + trunk, at.host(), at.port());
         if (to.hop().reliable()) {
--- a/src/main/java/martenslip/exchange/Surroundings.java
+++ b/src/main/java/martenslip/exchange/Surroundings.java
@@ -7,7 +7,6 @@
 import martenslip.control.Moment;
 import martenslip.control.Orders;
 import martenslip.control.Span;
-import martenslip.control.SwitchLine;
 import martenslip.provision.Rejected;
 import martenslip.provision.Site;
 import martenslip.signal.Load;
@@ -37,8 +36,8 @@
 
     private final Site site;
     private final Calls calls;
-    private final Switchboard switchboard;
-    private final Happenings happenings;
+    private final Reports reports;
+    private final Known known;
     private final SwitchText text;
     private final KeptList kept;
     private final EventLog log;
@@ -50,13 +49,13 @@
     private Wheel.Timer circuitsAgain;
     private Moment listAsked;
 
-    Surroundings(Site site, Calls calls, Switchboard switchboard, Happenings happenings, SwitchText text,
-                 KeptList kept, EventLog log) {
+    Surroundings(Site site, Calls calls, Reports reports, SwitchText text, Known known, KeptList kept,
+                 EventLog log) {
         this.site = site;
         this.calls = calls;
-        this.switchboard = switchboard;
-        this.happenings = happenings;
+        this.reports = reports;
         this.text = text;
+        this.known = known;
         this.kept = kept;
         this.log = log;
         list = new Watch(calls, site.listUri(), site.list(), SwitchText.SWITCHES, SwitchText.TYPE,
@@ -87,22 +86,35 @@
         };
     }
 
-    Switchboard switchboard() {
-        return switchboard;
+    /**
+     * Asks for the circuits of the own groups. At the process's start it begins with the list of the last run, which
+     * may be stale; a thread that takes over begins with what is known.
+     */
+    void start(boolean afresh) {
+        if (afresh) {
+            remembered();
+        } else {
+            reports.listed(ListKind.WHOLE, known.lines());
+            reports.circuits(known.groups());
+        }
+        circuits.start();
     }
 
-    /** Begins with the list of the last run, which may be stale, and asks for the circuits of the own groups. */
-    void start() {
+    private void remembered() {
         try {
             byte[] last = kept.read();
             if (last != null) {
-                SwitchText.Lines lines = text.lines(last);
-                switchboard.listed(lines.lines(), true);
-                tellList(ListKind.REMEMBERED, lines.lines());
+                SwitchText.Lines read = text.lines(last);
+                known.lines(read.lines(), true);
+                reports.listed(ListKind.REMEMBERED, read.lines());
             }
         } catch (IOException | Rejected | BadValue e) {
             log.warn(calls.wheel().now(), "kept-list-refused", "why", e.getMessage());
         }
+    }
+
+    /** Another decider wants to be told all. */
+    void anew() {
         circuits.start();
     }
 
@@ -127,37 +139,25 @@
     }
 
     private void listed(byte[] body) throws Rejected, BadValue {
-        SwitchText.Lines lines = text.lines(body);
-        if (!lines.full() && lines.version() <= listVersion) {
-            log.info(calls.wheel().now(), "list-older", "had", listVersion, "got", lines.version());
+        SwitchText.Lines read = text.lines(body);
+        if (!read.full() && read.version() <= listVersion) {
+            log.info(calls.wheel().now(), "list-older", "had", listVersion, "got", read.version());
             return;
         }
-        if (!lines.full() && lines.version() != listVersion + 1) {
+        if (!read.full() && read.version() != listVersion + 1) {
             // A notice was lost. What this one says is the newest all the same, and a drain may not wait.
-            log.info(calls.wheel().now(), "list-gap", "had", listVersion, "got", lines.version());
+            log.info(calls.wheel().now(), "list-gap", "had", listVersion, "got", read.version());
             list.refresh();
         }
-        listVersion = lines.version();
-        switchboard.listed(lines.lines(), lines.full());
-        tellList(lines.full() ? ListKind.WHOLE : ListKind.CHANGES, lines.lines());
-        kept.keep(text.write(new SwitchText.Lines(listVersion, true, switchboard.all())));
-    }
-
-    private void tellList(ListKind kind, List<Neighbour> lines) {
-        List<SwitchLine> told = lines.stream().map(Neighbour::line).toList();
-        happenings.add((module, at) -> module.listed(at, kind, told));
-        // A machine that takes over a number begins without the state of its group.
-        for (Site.Group group : site.groups().values()) {
-            Switchboard.Circuits state = switchboard.toward(group.far());
-            if (state.known) {
-                tellCircuits(state);
-            }
-        }
+        listVersion = read.version();
+        known.lines(read.lines(), read.full());
+        reports.listed(read.full() ? ListKind.WHOLE : ListKind.CHANGES, read.lines());
+        kept.keep(text.write(new SwitchText.Lines(listVersion, true, known.lines())));
     }
 
     private void listFailed(String why) {
         log.warn(calls.wheel().now(), "list-failed", "why", why);
-        happenings.add((module, at) -> module.listed(at, ListKind.FAILED, List.of()));
+        reports.listed(ListKind.FAILED, List.of());
     }
 
     private void circuitsTold(byte[] body) throws Rejected, BadValue {
@@ -169,19 +169,8 @@
             circuits.refresh();
         }
         circuitsVersion = groups.version();
-        for (SwitchText.GroupState state : groups.groups()) {
-            Switchboard.Circuits told = switchboard.told(state);
-            if (told != null) {
-                tellCircuits(told);
-            }
-        }
-    }
-
-    private void tellCircuits(Switchboard.Circuits state) {
-        float[] report = Load.NONE.report(state.free, state.total, site.reports());
-        for (Neighbour one : switchboard.bearing(state.group.far())) {
-            happenings.add((module, at) -> module.reported(at, one.line().id(), true, Span.ZERO, report));
-        }
+        known.groups(groups.groups());
+        reports.circuits(groups.groups());
     }
 
     private void circuitsFailed(String why) {
@@ -191,31 +180,22 @@
         }
     }
 
-    void probe(long target) {
-        Neighbour neighbour = switchboard.neighbour(target);
-        if (neighbour == null) {
-            happenings.add((module, at) -> module.reported(at, target, false, Span.ZERO, new float[0]));
-            return;
-        }
+    void probe(Neighbour neighbour) {
         Request options = outside("OPTIONS", neighbour.uri().toString());
+        long target = neighbour.line().id();
         Moment began = calls.wheel().now();
         calls.transactions().send(options, neighbour.hop(), new Asker() {
             @Override
             public void answered(ClientTransaction transaction, Response response) {
                 if (!response.provisional()) {
-                    Switchboard.Circuits group = switchboard.toward(neighbour.line().number());
-                    float[] report = Load.of(response).report(group == null ? 0 : group.free,
-                            group == null ? 0 : group.total, site.reports());
                     Span took = calls.wheel().now().since(began);
-                    happenings.add((module, at) ->
-                            module.reported(at, target, response.success(), took, report));
+                    reports.probed(target, response.success(), took, Load.of(response));
                 }
             }
 
             @Override
             public void failed(ClientTransaction transaction, Failure why) {
-                Span took = calls.wheel().now().since(began);
-                happenings.add((module, at) -> module.reported(at, target, false, took, new float[0]));
+                reports.probed(target, false, calls.wheel().now().since(began), null);
             }
         });
     }
@@ -282,7 +262,7 @@
         } else {
             byte[] note = request.body();
             transaction.respond(request.answer(200, "OK", calls.branches().tag()));
-            happenings.add((module, at) -> module.peerNote(at, peer, note));
+            reports.noted(peer, note);
         }
     }
 }
--- a/src/main/java/martenslip/exchange/Switchboard.java
+++ b/src/main/java/martenslip/exchange/Switchboard.java
@@ -45,11 +45,6 @@
         return byFar.get(far);
     }
 
-    /** The group of the name, or null where it is none of this exchange. */
-    Circuits named(String name) {
-        return name == null ? null : byName.get(name);
-    }
-
     List<Neighbour> all() {
         return List.copyOf(neighbours.values());
     }
--- a/src/main/java/martenslip/exchange/Taken.java
+++ b/src/main/java/martenslip/exchange/Taken.java
@@ -1,23 +1,34 @@
 package martenslip.exchange;
 
-import java.util.ArrayList;
-import java.util.List;
 import martenslip.control.Blame;
 import martenslip.control.Contact;
 import martenslip.control.Moment;
 import martenslip.sip.dialog.CallIn;
+import martenslip.sip.message.Response;
+import martenslip.wheel.Wheel;
 
-/** A contact that was taken: its caller's leg and its rings, of which the last alone may be out. */
+/** A contact that was taken: its caller's leg and its last ring, the only one that may be out. */
 final class Taken {
     final Contact contact;
     final CallIn caller;
     final String number;
     final Moment at;
-    final List<Ring> rings = new ArrayList<>(2);
+    /** How many rings it has had. */
+    int rings;
+    Ring ring;
     /** The final answer has been given, by whichever side. */
     boolean answered;
+    Response answer;
+    boolean sent;
+    boolean confirmed;
+    Will.Bye bye = Will.Bye.NONE;
+    /** When the last ring ended that may still hold something. */
+    Moment heldUntil;
     /** Why the last ring ended, for a tandem to pass on. */
     Blame last = Blame.NONE;
+    /** Its INVITE would count as a new one by now. */
+    boolean forgotten;
+    Wheel.Timer lastWord;
 
     Taken(Contact contact, CallIn caller, String number, Moment at) {
         this.contact = contact;
@@ -26,13 +37,18 @@
         this.at = at;
     }
 
-    Ring ring(int number) {
-        return number >= 0 && number < rings.size() ? rings.get(number) : null;
+    Ring ring(int wanted) {
+        return ring != null && ring.number == wanted ? ring : null;
     }
 
     /** The ring that is out or stands, or null. */
     Ring live() {
-        Ring last = rings.isEmpty() ? null : rings.get(rings.size() - 1);
-        return last == null || last.told ? null : last;
+        return ring == null || ring.told ? null : ring;
+    }
+
+    Will will() {
+        Will.Out out = ring != null && (!ring.told || bye == Will.Bye.RING) ? ring.out() : null;
+        return new Will(contact, number, at, caller.invite(), caller.transaction().from(), caller.tag(), rings, out,
+                heldUntil, last, answer, answered, sent, confirmed, bye);
     }
 }
--- /dev/null
+++ b/src/main/java/martenslip/exchange/ToDecider.java
@@ -0,0 +1,74 @@
+package martenslip.exchange;
+
+import java.util.List;
+import java.util.function.Consumer;
+import martenslip.control.Contact;
+import martenslip.control.Controller.ListKind;
+import martenslip.control.Span;
+import martenslip.roll.Roll;
+import martenslip.signal.Load;
+import martenslip.signal.Neighbour;
+import martenslip.signal.SwitchText;
+
+/** Reports on their way to the decider: at once on its own thread, or through its inbox. */
+final class ToDecider implements Reports {
+    interface Way {
+        /** False where it was not passed; what is {@code refusable} must leave room for what is not. */
+        boolean pass(Consumer<Decider> report, boolean refusable);
+    }
+
+    private final Way way;
+
+    ToDecider(Way way) {
+        this.way = way;
+    }
+
+    private void pass(Consumer<Decider> report) {
+        way.pass(report, false);
+    }
+
+    @Override
+    public boolean offered(Contact contact, int lane) {
+        return way.pass(decider -> decider.offered(contact, lane), true);
+    }
+
+    @Override
+    public void stood(long contact, int ring, long target, Span took, Load load) {
+        pass(decider -> decider.stood(contact, ring, target, took, load));
+    }
+
+    @Override
+    public void ringOver(RingOver over) {
+        pass(decider -> decider.ringOver(over));
+    }
+
+    @Override
+    public void gone(long contact) {
+        pass(decider -> decider.gone(contact));
+    }
+
+    @Override
+    public void inherited(int lane, List<Roll.Held> held) {
+        pass(decider -> decider.inherited(lane, held));
+    }
+
+    @Override
+    public void listed(ListKind kind, List<Neighbour> lines) {
+        pass(decider -> decider.listed(kind, lines));
+    }
+
+    @Override
+    public void circuits(List<SwitchText.GroupState> groups) {
+        pass(decider -> decider.circuits(groups));
+    }
+
+    @Override
+    public void probed(long target, boolean reached, Span took, Load load) {
+        pass(decider -> decider.probed(target, reached, took, load));
+    }
+
+    @Override
+    public void noted(int peer, byte[] note) {
+        pass(decider -> decider.noted(peer, note));
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/exchange/ToLanes.java
@@ -0,0 +1,64 @@
+package martenslip.exchange;
+
+import java.util.function.Consumer;
+import martenslip.control.Span;
+import martenslip.signal.Neighbour;
+
+/** Orders on their way to the lane that has the contact; what is about no contact is the first lane's. */
+final class ToLanes implements Hands {
+    interface Way {
+        void pass(int lane, Consumer<Hands> order);
+    }
+
+    private final int lanes;
+    private final Way way;
+
+    ToLanes(int lanes, Way way) {
+        this.lanes = lanes;
+        this.way = way;
+    }
+
+    private void pass(long contact, Consumer<Hands> order) {
+        way.pass(Estate.laneOf(contact, lanes), order);
+    }
+
+    @Override
+    public void ring(long contact, Send send) {
+        pass(contact, lane -> lane.ring(contact, send));
+    }
+
+    @Override
+    public void callOff(long contact, int ring) {
+        pass(contact, lane -> lane.callOff(contact, ring));
+    }
+
+    @Override
+    public void defer(long contact, Span comeBack) {
+        pass(contact, lane -> lane.defer(contact, comeBack));
+    }
+
+    @Override
+    public void abandon(long contact) {
+        pass(contact, lane -> lane.abandon(contact));
+    }
+
+    @Override
+    public void probe(Neighbour to) {
+        way.pass(0, lane -> lane.probe(to));
+    }
+
+    @Override
+    public void note(int peer, byte[] note) {
+        way.pass(0, lane -> lane.note(peer, note));
+    }
+
+    @Override
+    public void askList() {
+        way.pass(0, Hands::askList);
+    }
+
+    @Override
+    public void watchList(boolean on) {
+        way.pass(0, lane -> lane.watchList(on));
+    }
+}
--- a/src/main/java/martenslip/exchange/Warming.java
+++ b/src/main/java/martenslip/exchange/Warming.java
@@ -6,15 +6,13 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Set;
-import martenslip.control.Controller;
 import martenslip.control.Controller.ListKind;
 import martenslip.control.Moment;
-import martenslip.control.Orders;
 import martenslip.control.Span;
 import martenslip.control.SwitchLine;
 import martenslip.provision.Site;
-import martenslip.signal.Load;
 import martenslip.signal.Neighbour;
+import martenslip.signal.SwitchText;
 import martenslip.sip.dialog.CallIn;
 import martenslip.sip.dialog.CallUser;
 import martenslip.sip.dialog.Calls;
@@ -50,7 +48,7 @@
     private final Hop far = Hop.udp(new InetSocketAddress("127.0.0.1", 9));
     private Calls calls;
     private Contacts contacts;
-    private Happenings happenings;
+    private Decider decider;
     private Moment now = new Moment(0);
 
     Warming(Site site, Maker maker) {
@@ -84,21 +82,24 @@
             }
         };
         calls = new Calls(wheel, Timers.RFC, outlet, new Branches(1), user(), new Drops(), 1 << 16);
-        Switchboard switchboard = new Switchboard(site);
-        Controller module = maker.make(site.settings(Exchange.ROUND), 1, now, new Carried());
-        happenings = new Happenings(module);
-        contacts = new Contacts(site, calls, switchboard, happenings, new EventLog(site.number()), new Figures());
+        EventLog log = new EventLog(site.number());
+        ToLanes hands = new ToLanes(1, (lane, order) -> order.accept(new Carried()));
+        decider = new Decider(site, maker, 1, wheel, hands, log);
+        ToDecider reports = new ToDecider((report, refusable) -> {
+            report.accept(decider);
+            return true;
+        });
+        contacts = new Contacts(site, calls, 0, new Estate(0, 1), reports, () -> false, log, new Figures());
         List<Neighbour> lines = new ArrayList<>();
         for (Site.Group group : site.groups().values()) {
             SwitchLine line = new SwitchLine(group.far() + 1, group.far(), SwitchLine.State.READY, null, 0);
             lines.add(new Neighbour(line, SipUri.of(null, "127.0.0.1", 9), far));
         }
-        switchboard.listed(lines, true);
-        module.listed(now, ListKind.WHOLE, lines.stream().map(Neighbour::line).toList());
-        for (Site.Group group : site.groups().values()) {
-            float[] report = Load.NONE.report(group.circuits(), group.circuits(), site.reports());
-            module.reported(now, group.far() + 1, true, Span.ZERO, report);
-        }
+        decider.listed(ListKind.WHOLE, lines);
+        decider.circuits(site.groups().values().stream().map(group ->
+                new SwitchText.GroupState(group.name(), group.circuits(), group.circuits())).toList());
+        decider.begin();
+        decider.tellAll();
     }
 
     private void contact(int number, String prefix) {
@@ -119,7 +120,7 @@
         now = now.plus(STEP);
         wheel.turn(now);
         calls.transactions().arrived(new Arrival.Received(read, far));
-        happenings.tellAll(now);
+        decider.tellAll();
     }
 
     /** Plays switch and caller: 200 to each request, ACK and then BYE to each 200 of an INVITE. */
@@ -177,10 +178,10 @@
     }
 
     /** Orders about contacts are carried out; the world around is not there. */
-    private final class Carried implements Orders {
+    private final class Carried implements Hands {
         @Override
-        public void ring(long contact, long target, Span limit) {
-            contacts.ring(contact, target, limit);
+        public void ring(long contact, Send send) {
+            contacts.ring(contact, send);
         }
 
         @Override
@@ -199,12 +200,7 @@
         }
 
         @Override
-        public void clock(Span delay, long token) {
-            wheel.after(delay, () -> happenings.add((module, at) -> module.clockRung(at, token)));
-        }
-
-        @Override
-        public void probe(long target) {
+        public void probe(Neighbour to) {
         }
 
         @Override
@@ -218,9 +214,5 @@
         @Override
         public void watchList(boolean on) {
         }
-
-        @Override
-        public void log(String line) {
-        }
     }
 }
--- a/src/main/java/martenslip/provision/Site.java
+++ b/src/main/java/martenslip/provision/Site.java
@@ -19,7 +19,7 @@
                    Map<Integer, Peer> peers) {
     public record Group(String name, int far, int circuits) { }
 
-    public record Limits(int mostRings, int mostOpen, Span comeBack, Span silence) { }
+    public record Limits(int mostRings, int mostOpen, Span comeBack, Span silence, int lanes) { }
 
     public record RuleFigures(Span release, Span drainGrace, double coldShare, Span warmWithin, double fallMultiple,
                               Span fall) { }
--- a/src/main/java/martenslip/provision/SiteFile.java
+++ b/src/main/java/martenslip/provision/SiteFile.java
@@ -76,7 +76,8 @@
                 root.child("switch-list").text("uri"), beside.resolve(root.child("switch-list").text("kept")),
                 regions, skills, usual, numbering(), root.child("groups").text("trunk-context"), groups,
                 new Site.Limits(limits.integer("most-rings"), limits.integer("most-open"),
-                        limits.ms("come-back-ms"), limits.ms("silence-ms")),
+                        limits.ms("come-back-ms"), limits.ms("silence-ms"),
+                        limits.has("lanes") ? limits.integer("lanes") : 1),
                 new Site.RuleFigures(rules.ms("release-ms"), rules.ms("drain-grace-ms"), rules.decimal("cold-share"),
                         rules.ms("warm-within-ms"), rules.decimal("fall-multiple"), rules.ms("fall-ms")),
                 List.of(root.child("reports").text("fields").split("\\s+")), peers);
--- /dev/null
+++ b/src/main/java/martenslip/roll/Roll.java
@@ -0,0 +1,269 @@
+package martenslip.roll;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import martenslip.control.Blame;
+import martenslip.control.Cause;
+import martenslip.control.Contact;
+import martenslip.control.Controller;
+import martenslip.control.Moment;
+import martenslip.control.RingEnd;
+import martenslip.control.Span;
+
+/**
+ * Which contacts the module knows of, and what it has heard of each, so that it hears all once and in order while the
+ * threads around it are replaced. Rings are numbered by the lane that sends them; a module that took over amid a
+ * contact counts its own from 0, so each contact has a base. What a lane still holds after a replacement is compared
+ * with what the module was told, and the difference is told.
+ *
+ * <p>Without I/O, threads or clock; the thread that owns the module owns it. Bounded by the contacts that are open.
+ */
+public final class Roll {
+    /**
+     * What a lane holds of a contact: when it was taken, how many rings it had, the one that is out or stands, or -1,
+     * and when the last one ended that may still hold something, or null.
+     */
+    public record Held(Contact contact, Moment at, int rings, int out, long target, boolean stood, boolean answered,
+                       Moment heldUntil) { }
+
+    /** What the roll orders beside the module. */
+    public interface Lanes {
+        /** A ring that this module never ordered, of a contact that is over. */
+        void callOff(long contact, int ring);
+    }
+
+    private static final class Entry {
+        final Contact contact;
+        final int lane;
+        final Moment at;
+        /** Rings below this number were another module's. */
+        int base;
+        int next;
+        int live = -1;
+        long target;
+        boolean known;
+        boolean stood;
+        boolean answered;
+
+        Entry(Contact contact, int lane, Moment at) {
+            this.contact = contact;
+            this.lane = lane;
+            this.at = at;
+        }
+
+        boolean foreign() {
+            return live >= 0 && live < base;
+        }
+    }
+
+    private record Later(long contact, Moment at, long order) { }
+
+    private final Controller module;
+    private final Span release;
+    private final Lanes lanes;
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+    private final PriorityQueue<Later> later = new PriorityQueue<>(
+            Comparator.comparing(Later::at).thenComparing(Later::order));
+    private long orders;
+
+    /** {@code release} is how long nothing is sent for a contact after a ring that may still hold something. */
+    public Roll(Controller module, Span release, Lanes lanes) {
+        this.module = module;
+        this.release = release;
+        this.lanes = lanes;
+    }
+
+    public int size() {
+        return entries.size();
+    }
+
+    /** A contact that a lane has taken; one that is known already is not told again. */
+    public void offered(Moment now, Contact contact, int lane) {
+        if (!entries.containsKey(contact.id())) {
+            Entry entry = new Entry(contact, lane, now);
+            entry.known = true;
+            entries.put(contact.id(), entry);
+            module.offered(now, contact);
+        }
+    }
+
+    /** The module orders a ring: its number for the lane, or -1 where the contact is not on the roll. */
+    public int ordered(long contact, long target) {
+        Entry entry = entries.get(contact);
+        if (entry == null) {
+            return -1;
+        }
+        entry.live = entry.next++;
+        entry.target = target;
+        return entry.live;
+    }
+
+    /** How many circuits a contact on the roll takes. */
+    public int width(long contact) {
+        return entries.get(contact).contact.width();
+    }
+
+    /** The lane's number of a ring that the module names. */
+    public int lanesNumber(long contact, int ring) {
+        Entry entry = entries.get(contact);
+        return entry == null ? -1 : entry.base + ring;
+    }
+
+    /** The module gave its final answer. */
+    public void answered(long contact) {
+        Entry entry = entries.get(contact);
+        if (entry != null) {
+            entry.answered = true;
+            forget(entry);
+        }
+    }
+
+    public void stood(Moment now, long contact, int ring, long target, Span took) {
+        Entry entry = entries.get(contact);
+        if (entry == null || entry.live != ring || entry.stood) {
+            return;
+        }
+        boolean foreign = entry.foreign();
+        entry.stood = true;
+        entry.answered = true;
+        if (!foreign) {
+            module.stands(now, contact, ring - entry.base, target, took);
+        }
+    }
+
+    /** The outcome of a ring, numbered by its lane; true where it is news. */
+    public boolean ended(Moment now, RingEnd end) {
+        Entry entry = entries.get(end.contact());
+        if (entry == null || entry.live != end.ring()) {
+            return false;
+        }
+        boolean foreign = entry.foreign();
+        entry.live = -1;
+        if (!foreign) {
+            module.ringEnded(now, new RingEnd(end.contact(), end.ring() - entry.base, end.target(), end.cause(),
+                    end.blame(), end.took(), end.stayAway(), end.answered(), end.report()));
+        } else if (!entry.answered) {
+            offerLater(entry, mayHold(end.cause()) ? now.plus(release) : now);
+        }
+        forget(entry);
+        return true;
+    }
+
+    /** Rule 5: after these nothing is sent for the release time. */
+    private static boolean mayHold(Cause cause) {
+        return cause == Cause.TIMED_OUT || cause == Cause.CUT || cause == Cause.CALLED_OFF;
+    }
+
+    /** The caller is gone, or the lane had the last word. */
+    public void gone(Moment now, long contact) {
+        Entry entry = entries.get(contact);
+        if (entry == null || entry.answered) {
+            return;
+        }
+        entry.answered = true;
+        if (entry.foreign()) {
+            lanes.callOff(contact, entry.live);
+        }
+        if (entry.known) {
+            module.callerGone(now, contact);
+        }
+        forget(entry);
+    }
+
+    private void forget(Entry entry) {
+        if (entry.answered && entry.live < 0) {
+            entries.remove(entry.contact.id(), entry);
+        }
+    }
+
+    /** A lane's thread, or this one, was replaced: all that the lane holds. */
+    public void inherited(Moment now, int lane, List<Held> held) {
+        Map<Long, Held> byId = new HashMap<>();
+        held.forEach(one -> byId.put(one.contact().id(), one));
+        List<Entry> mine = new ArrayList<>();
+        entries.values().stream().filter(entry -> entry.lane == lane).forEach(mine::add);
+        for (Entry entry : mine) {
+            compare(now, entry, byId.get(entry.contact.id()));
+        }
+        for (Held one : held) {
+            if (!entries.containsKey(one.contact().id()) && !(one.answered() && one.out() < 0)) {
+                adopt(now, lane, one);
+            }
+        }
+    }
+
+    private void compare(Moment now, Entry entry, Held held) {
+        long id = entry.contact.id();
+        if (held == null) {
+            // The lane had done with it, and what it said of that was lost.
+            gone(now, id);
+            over(now, entry, Cause.CUT);
+            return;
+        }
+        if (held.stood()) {
+            stood(now, id, held.out(), held.target(), now.since(held.at()));
+        } else if (entry.live >= 0 && entry.live < held.rings() && held.out() != entry.live) {
+            over(now, entry, entry.stood ? Cause.CUT : Cause.TIMED_OUT);
+        }
+        // A ring that the lane has no count of is an order that still stands in its inbox.
+        if (held.answered()) {
+            gone(now, id);
+        }
+    }
+
+    private void over(Moment now, Entry entry, Cause cause) {
+        if (entry.live >= 0) {
+            ended(now, new RingEnd(entry.contact.id(), entry.live, entry.target, cause, Blame.NONE, Span.ZERO,
+                    Span.ZERO, entry.answered, new float[0]));
+        }
+    }
+
+    private void adopt(Moment now, int lane, Held held) {
+        Entry entry = new Entry(held.contact(), lane, held.at());
+        entry.base = held.rings();
+        entry.next = held.rings();
+        entry.live = held.out();
+        entry.target = held.target();
+        entry.stood = held.stood();
+        entry.answered = held.answered();
+        entries.put(held.contact().id(), entry);
+        if (!entry.answered && entry.live < 0) {
+            Moment until = held.heldUntil() == null ? now : held.heldUntil().plus(release);
+            offerLater(entry, until.before(now) ? now : until);
+        }
+    }
+
+    private void offerLater(Entry entry, Moment at) {
+        entry.base = entry.next;
+        later.add(new Later(entry.contact.id(), at, orders++));
+    }
+
+    /** When {@link #turn} has something to do, or null. */
+    public Moment due() {
+        return later.isEmpty() ? null : later.peek().at();
+    }
+
+    /** Offers what another module had been offered before and is due; with what is left of its patience. */
+    public void turn(Moment now) {
+        while (!later.isEmpty() && !now.before(later.peek().at())) {
+            Entry entry = entries.get(later.poll().contact());
+            if (entry == null || entry.answered || entry.known && entry.live >= 0) {
+                continue;
+            }
+            Contact was = entry.contact;
+            Span left = was.patience().minus(now.since(entry.at));
+            if (!left.longerThan(Span.ZERO)) {
+                // Its lane has the last word about now.
+                continue;
+            }
+            entry.known = true;
+            module.offered(now, new Contact(was.id(), was.skill(), was.dialled(), was.destination(), was.hint(),
+                    was.width(), left, was.redial(), was.inTransit(), was.cutBefore()));
+        }
+    }
+}
--- a/src/main/java/martenslip/sip/dialog/CallIn.java
+++ b/src/main/java/martenslip/sip/dialog/CallIn.java
@@ -22,6 +22,21 @@
 
         /** A call that stood ended from the far side; {@code bye} is null without one. */
         void ended(Ending why, Request bye);
+
+        /** A final answer that this side gives by itself is about to leave. */
+        default void leaving(Response last) {
+            // Most listeners need not know.
+        }
+
+        /** The 2xx was acknowledged. */
+        default void confirmed() {
+            // Most listeners need not know.
+        }
+
+        /** The INVITE, should it come once more, would now count as a new one. */
+        default void forgotten() {
+            // Most listeners need not know.
+        }
     }
 
     private final Calls calls;
@@ -52,6 +67,11 @@
         return transaction;
     }
 
+    /** The tag that this side gave the dialog. */
+    public String tag() {
+        return tag;
+    }
+
     public void listen(Listener one) {
         listener = one;
     }
@@ -104,6 +124,24 @@
         return true;
     }
 
+    /** Taken over from another thread after its refusal was sent. */
+    public void refusedAlready(Response response) {
+        over();
+        transaction.refusedAlready(response);
+    }
+
+    /** Taken over from another thread after its 2xx was acknowledged: it stands, and nothing is sent. */
+    void standsAlready() {
+        state = State.CONFIRMED;
+        transaction.acceptedAlready();
+    }
+
+    void transactionOver() {
+        if (listener != null) {
+            listener.forgotten();
+        }
+    }
+
     private void again() {
         if (state == State.ACCEPTED) {
             transaction.respond(accepted);
@@ -124,6 +162,7 @@
             state = State.CONFIRMED;
             accepted = null;
             stop();
+            listener.confirmed();
             if (byeWanted) {
                 sendBye(byeReason);
                 over();
@@ -133,11 +172,17 @@
 
     void cancelled() {
         if (state == State.OPEN) {
-            refuse(response(487, "Request Terminated"));
-            listener.cancelled();
+            terminated();
         }
     }
 
+    private void terminated() {
+        Response last = response(487, "Request Terminated");
+        listener.leaving(last);
+        refuse(last);
+        listener.cancelled();
+    }
+
     @Override
     public void requested(ServerTransaction next) throws BadValue {
         if (!calls.endedBy(next, dialog)) {
@@ -145,8 +190,7 @@
         }
         if (state == State.OPEN) {
             // A BYE of an early dialog ends the INVITE too (RFC 3261 15.1.2).
-            refuse(response(487, "Request Terminated"));
-            listener.cancelled();
+            terminated();
         } else {
             end(Ending.BYE, next.request());
         }
--- a/src/main/java/martenslip/sip/dialog/CallOut.java
+++ b/src/main/java/martenslip/sip/dialog/CallOut.java
@@ -21,6 +21,11 @@
     public interface Listener {
         void progress(Response response);
 
+        /** The INVITE is complete and is about to leave. */
+        default void leaving(Request invite, Hop to) {
+            // Most listeners need not know.
+        }
+
         /** The first 2xx; its ACK has been sent. */
         void stood(Response response);
 
@@ -50,6 +55,26 @@
         transaction = calls.send(invite, to, this);
     }
 
+    /** Takes over an INVITE that another thread had sent. */
+    void takeOver(Request invite, Hop to) throws BadValue {
+        transaction = calls.transactions().takeOver(invite, to, false, this);
+    }
+
+    /** Takes over a call that stands. */
+    void takeOver(Request invite, Hop to, Response stood) throws BadValue {
+        heard = true;
+        state = State.STANDS;
+        transaction = calls.transactions().takeOver(invite, to, true, this);
+        dialog = Dialog.asClient(invite, stood);
+        dialog.skip();
+        calls.stands(this, dialog.id());
+    }
+
+    @Override
+    public void leaving(ClientTransaction which) {
+        listener.leaving(which.request(), which.hop());
+    }
+
     /** True once any response has come. */
     public boolean heard() {
         return heard;
--- a/src/main/java/martenslip/sip/dialog/Calls.java
+++ b/src/main/java/martenslip/sip/dialog/Calls.java
@@ -95,6 +95,41 @@
         return call;
     }
 
+    /**
+     * Takes over a call that another thread had taken: INVITE, where it came from and the tag that this side gave it.
+     * {@code confirmed} says that its 2xx was acknowledged. Null where the INVITE is known here already.
+     */
+    public CallIn takeOver(Request invite, Hop from, String tag, boolean confirmed) throws BadValue {
+        ServerTransaction transaction = transactions.takeOver(invite, from);
+        if (transaction == null) {
+            return null;
+        }
+        CallIn call = register(transaction, invite, tag);
+        if (confirmed) {
+            call.standsAlready();
+        }
+        return call;
+    }
+
+    /** Takes over an INVITE that another thread had sent; {@code stood} is its 2xx, or null while it is out. */
+    public CallOut takeOver(Request invite, Hop to, Response stood, CallOut.Listener listener) throws BadValue {
+        CallOut call = new CallOut(this, listener);
+        if (stood == null) {
+            call.takeOver(invite, to);
+        } else {
+            call.takeOver(invite, to, stood);
+        }
+        return call;
+    }
+
+    private CallIn register(ServerTransaction transaction, Request invite, String tag) throws BadValue {
+        CallIn call = new CallIn(this, transaction, Dialog.asServer(invite, tag));
+        transaction.attach(call);
+        legs.put(call.id(), call);
+        merging.put(mergeKey(invite), call);
+        return call;
+    }
+
     ClientTransaction send(Request request, Hop to, Asker asker) {
         return transactions.send(request, to, asker);
     }
@@ -243,10 +278,7 @@
             transaction.respond(request.answer(483, "Too many hops", branches.tag()));
             return;
         }
-        CallIn call = new CallIn(this, transaction, Dialog.asServer(request, branches.tag()));
-        transaction.attach(call);
-        legs.put(call.id(), call);
-        merging.put(mergeKey(request), call);
+        CallIn call = register(transaction, request, branches.tag());
         if (timers.trying().ns() == 0) {
             trying(transaction);
         } else {
@@ -275,9 +307,27 @@
         }
     }
 
+    @Override
+    public void over(ServerTransaction transaction) {
+        if (transaction.attached() instanceof CallIn call) {
+            call.transactionOver();
+        }
+    }
+
     @Override
     public void stray(Response response, Hop from) {
         drops.count("response without a transaction");
+        try {
+            if (response.success() && response.cseq().method().equals("INVITE")
+                    && !legs.containsKey(Dialog.id(response.callId(), response.from().tag(), response.to().tag()))) {
+                // Nobody here wants the call any more, but the far side holds it until it hears so (13.2.2.4).
+                Dialog unwanted = Dialog.unwanted(response);
+                transactions.sendAck(unwanted.ack(response.cseq().number()), unwanted.hop());
+                sendBye(unwanted, null);
+            }
+        } catch (BadValue e) {
+            drops.count("2xx that makes no dialog");
+        }
     }
 
     @Override
--- a/src/main/java/martenslip/sip/dialog/Dialog.java
+++ b/src/main/java/martenslip/sip/dialog/Dialog.java
@@ -14,6 +14,9 @@
 
 /** The state that two user agents share (RFC 3261 12). Owned by the thread of its {@link Calls}. */
 public final class Dialog {
+    /** More than one call's own requests here: a BYE alone. */
+    private static final int TAKEN_OVER = 100;
+
     private final String callId;
     private final String localTag;
     private final String remoteTag;
@@ -51,6 +54,14 @@
                 request.cseq().number(), -1);
     }
 
+    /** Of a 2xx whose INVITE is no longer known, to end it: all that this needs stands in the response. */
+    static Dialog unwanted(Response response) throws BadValue {
+        List<String> routes = new ArrayList<>(response.headers().all("Record-Route"));
+        Collections.reverse(routes);
+        return new Dialog(response.callId(), response.from(), response.to(), routes, contact(response.headers()),
+                response.cseq().number() + TAKEN_OVER, -1);
+    }
+
     private static String contact(Headers headers) throws BadValue {
         String contact = headers.first("Contact");
         if (contact == null) {
@@ -87,6 +98,11 @@
         return true;
     }
 
+    /** Numbers that whoever held the dialog before may have used are left out; gaps are allowed (12.2.1.1). */
+    void skip() {
+        localNumber += TAKEN_OVER;
+    }
+
     /** The next request of this side; an ACK bears the number of the INVITE that it is for. */
     Request request(String method) {
         return request(method, ++localNumber);
--- a/src/main/java/martenslip/sip/transaction/Asker.java
+++ b/src/main/java/martenslip/sip/transaction/Asker.java
@@ -10,6 +10,11 @@
      */
     void answered(ClientTransaction transaction, Response response);
 
+    /** The request is complete, with its Via, and is about to leave for the first time. */
+    default void leaving(ClientTransaction transaction) {
+        // Most askers need not know.
+    }
+
     /** No final response will come. Called once at most, and not after a final response. */
     void failed(ClientTransaction transaction, Failure why);
 }
--- a/src/main/java/martenslip/sip/transaction/Branches.java
+++ b/src/main/java/martenslip/sip/transaction/Branches.java
@@ -1,15 +1,23 @@
 package martenslip.sip.transaction;
 
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import martenslip.sip.message.Via;
 
 /** Branches, tags and Call-IDs: unique by a start drawn at random and a count. One thread owns it. */
 public final class Branches {
     private final SplittableRandom chance;
     private final String start;
+    private final Predicate<String> mine;
     private long count;
 
     public Branches(long seed) {
+        this(seed, any -> true);
+    }
+
+    /** {@code mine} says which Call-IDs lead back to this thread; about one in as many as there are threads must. */
+    public Branches(long seed, Predicate<String> mine) {
+        this.mine = mine;
         chance = new SplittableRandom(seed);
         start = Long.toString(chance.nextLong() & Long.MAX_VALUE, 36);
     }
@@ -24,6 +32,10 @@
     }
 
     public String callId(String host) {
-        return start + "-" + Long.toString(++count, 36) + "@" + host;
+        String made = start + "-" + Long.toString(++count, 36) + "@" + host;
+        while (!mine.test(made)) {
+            made = start + "-" + Long.toString(++count, 36) + "@" + host;
+        }
+        return made;
     }
 }
--- a/src/main/java/martenslip/sip/transaction/ClientTransaction.java
+++ b/src/main/java/martenslip/sip/transaction/ClientTransaction.java
@@ -62,6 +62,7 @@
     }
 
     void start() {
+        asker.leaving(this);
         end = layer.wheel.after(layer.timers.whole(), () -> fail(Failure.TIMED_OUT));
         if (!layer.out.send(bytes, hop)) {
             // Told by the next turn of the wheel: whoever sent it is still amid its own call.
@@ -208,6 +209,12 @@
         repeat = layer.wheel.after(gap, this::again);
     }
 
+    /** Taken over in its Accepted state: it meets 2xx that come again. */
+    void accepted() {
+        state = State.ACCEPTED;
+        linger(layer.timers.whole());
+    }
+
     void fail(Failure why) {
         if (state == State.CALLING || state == State.PROCEEDING) {
             terminate();
--- a/src/main/java/martenslip/sip/transaction/ServerTransaction.java
+++ b/src/main/java/martenslip/sip/transaction/ServerTransaction.java
@@ -99,6 +99,22 @@
         return true;
     }
 
+    /** Taken over in its Accepted state: repeats of the INVITE are met, and the 2xx is not sent. */
+    public void acceptedAlready() {
+        state = State.ACCEPTED;
+        linger(layer.timers.whole());
+    }
+
+    /** Taken over after its refusal was sent: it goes again to whoever asks again, or has not acknowledged it. */
+    public void refusedAlready(Response response) {
+        state = State.COMPLETED;
+        last = response.bytes();
+        end = layer.wheel.loosely(layer.timers.whole(), this::terminate);
+        if (!from.reliable()) {
+            repeat = layer.wheel.after(gap, this::again);
+        }
+    }
+
     /** Timer G. */
     private void again() {
         if (state == State.COMPLETED) {
--- a/src/main/java/martenslip/sip/transaction/Transactions.java
+++ b/src/main/java/martenslip/sip/transaction/Transactions.java
@@ -231,5 +231,36 @@
 
     void over(ServerTransaction transaction) {
         servers.remove(transaction.key, transaction);
+        user.over(transaction);
+    }
+
+    /**
+     * A server transaction of an INVITE that another thread had begun and can't go on with: it stands as if the
+     * INVITE had just come and had no response, and the user is not told. Null where it is known here already.
+     */
+    public ServerTransaction takeOver(Request invite, Hop from) throws BadValue {
+        String key = serverKey(invite, invite.method());
+        if (servers.containsKey(key)) {
+            return null;
+        }
+        ServerTransaction begun = new ServerTransaction(this, key, invite, from, back(invite, from));
+        servers.put(key, begun);
+        return begun;
+    }
+
+    /**
+     * A client transaction that another thread had begun. The request bears its Via. It is sent again, which the far
+     * side takes for a repeat, or stands as {@code accepted} and only meets what comes again.
+     */
+    public ClientTransaction takeOver(Request request, Hop hop, boolean accepted, Asker asker) throws BadValue {
+        ClientTransaction begun = new ClientTransaction(this, request, request.bytes(), request.via().branch(), hop,
+                false, asker);
+        clients.put(begun.key(), begun);
+        if (accepted) {
+            begun.accepted();
+        } else {
+            begun.start();
+        }
+        return begun;
     }
 }
--- a/src/main/java/martenslip/sip/transaction/User.java
+++ b/src/main/java/martenslip/sip/transaction/User.java
@@ -18,6 +18,9 @@
     /** A response without a transaction; a late 2xx to an INVITE still wants an ACK and a BYE. */
     void stray(Response response, Hop from);
 
+    /** A server transaction has ended: its request would count as a new one if it came again. */
+    void over(ServerTransaction transaction);
+
     /** A connection broke, for dialogs that went over it. */
     void broken(Hop hop, boolean everUp);
 }
--- a/src/test/java/martenslip/play/WholePathTest.java
+++ b/src/test/java/martenslip/play/WholePathTest.java
@@ -141,10 +141,12 @@
             public void callerGone(Moment now, long contact) {
             }
         }));
-        // The caller's own CANCEL would be an answer; this one stays on the line, as its CANCEL is lost.
+        // The caller's own CANCEL would be an answer; this one stays on the line, as its CANCEL is lost. A module that
+        // is silent alone is not enough, as the lane has the last word: the whole controller ends amid the contact.
         world.callers.dial(0, 1, 0);
         SmallWorld.await(() -> world.exchanges.get(0).figures().contains("taken=1 "), "taken");
         world.wires.get(0).silent(true);
+        world.exchanges.get(0).close();
         SmallWorld.await(() -> world.ended() == 1, "the caller gave up");
         long due = System.nanoTime() + 200_000_000;
         SmallWorld.await(() -> System.nanoTime() > due, "its patience over at the controller too");
@@ -153,6 +155,24 @@
         caught(world.verdict(1));
     }
 
+    @Test
+    public void aModuleThatNeverAnswersLeavesTheLastWordToTheLane() throws Exception {
+        SmallWorld world = new SmallWorld(Hop.Kind.UDP, UNIT, faulty(orders -> new Faulty(orders) {
+            @Override
+            public void offered(Moment now, Contact contact) {
+            }
+
+            @Override
+            public void callerGone(Moment now, long contact) {
+            }
+        }));
+        world.callers.dial(0, 1, 0);
+        SmallWorld.await(() -> world.ended() == 1, "ended");
+        assertTrue(world.exchanges.get(0).figures().contains("abandoned=1 "), world.exchanges.get(0).figures());
+        Verdict verdict = world.verdict(1);
+        assertTrue(verdict.kept(), verdict.toString());
+    }
+
     @Test
     public void rule2CatchesASecondRingBesideTheFirst() throws Exception {
         Holder holder = new Holder();
