--- /dev/null
+++ b/src/main/java/martenslip/cli/BenchCommand.java
@@ -0,0 +1,68 @@
+package martenslip.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import martenslip.play.CoresBench;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Long measurements. */
+@Command(name = "bench", mixinStandardHelpOptions = true,
+        description = "Measures this program on this machine; 'cores' is one exchange on several lanes.")
+final class BenchCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "WHAT", description = "cores")
+    private String what;
+
+    @Option(names = "--lanes", split = ",", defaultValue = "1,2,4,8", description = "Counts of lanes.")
+    private List<Integer> lanes;
+
+    @Option(names = "--rates", split = ",", defaultValue = "620,1200,2000,3000,4000,5000,6500,8000,10000",
+            description = "Contacts a second, rising.")
+    private List<Integer> rates;
+
+    @Option(names = "--seconds", defaultValue = "6", description = "How long each rate is held.")
+    private int seconds;
+
+    @Option(names = "--into", defaultValue = "target/bench", description = "Folder for files, table and chart.")
+    private Path into;
+
+    @Option(names = "--java", defaultValue = "-XX:+UseParallelGC -XX:ParallelGCThreads=4 -Xms2g -Xmx2g -Xmn1400m",
+            description = "Options of the exchange's virtual machine.")
+    private String options;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (!what.equals("cores")) {
+            System.err.println("martenslip: nothing called " + what + " is measured");
+            return 2;
+        }
+        try {
+            CoresBench bench = new CoresBench(into, List.of(options.trim().split(" +")), seconds, System.out);
+            List<CoresBench.Row> rows = bench.rates(lanes, rates);
+            write(rows);
+            CoresChart.write(rows, into.resolve("cores.svg"));
+            bench.full(lanes);
+            System.out.flush();
+            return 0;
+        } catch (IOException e) {
+            System.err.println("martenslip: " + e);
+            return 2;
+        }
+    }
+
+    private void write(List<CoresBench.Row> rows) throws IOException {
+        try (PrintStream csv = new PrintStream(Files.newOutputStream(into.resolve("cores.csv")), false,
+                StandardCharsets.UTF_8)) {
+            csv.println("lanes,rate,dialled,stood,p50_us,p99_us,p999_us,cpu_ms");
+            rows.forEach(row -> csv.printf(Locale.ROOT, "%d,%.0f,%d,%d,%d,%d,%d,%.3f%n", row.lanes(), row.rate(),
+                    row.dialled(), row.stood(), row.p50(), row.p99(), row.p999(), row.cpuMs()));
+        }
+    }
+}
--- a/src/main/java/martenslip/cli/PlayCommand.java
+++ b/src/main/java/martenslip/cli/PlayCommand.java
@@ -27,12 +27,16 @@
             + "-XX:TieredStopAtLevel=1 -Xms256m -Xmx512m -Xmn128m")
     private String options;
 
+    @Option(names = "--lanes", paramLabel = "N", description = "Lanes of each controller, whatever the day says.")
+    private int lanes;
+
     @Override
     public Integer call() throws InterruptedException {
         try {
             Day day = Day.read(file);
             Path folder = into != null ? into : Path.of("target", "play", day.name());
-            boolean kept = new Play(day, folder, List.of(options.trim().split(" +")), System.out).run();
+            boolean kept = new Play(day, folder, List.of(options.trim().split(" +")), lanes,
+                    System.out).run();
             // Stand-ins' readers may still wait on sockets; what was to be said is said.
             System.out.flush();
             return kept ? 0 : 1;
--- a/src/main/java/martenslip/cli/RunCommand.java
+++ b/src/main/java/martenslip/cli/RunCommand.java
@@ -1,6 +1,9 @@
 package martenslip.cli;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -26,6 +29,9 @@
     @Option(names = "--figures", description = "Print the counts every so many seconds.", paramLabel = "SECONDS")
     private int every;
 
+    @Option(names = "--planted", hidden = true, description = "Reads stalls to plant from standard input, for plays.")
+    private boolean planted;
+
     @Override
     public Integer call() throws InterruptedException {
         Site site;
@@ -53,10 +59,24 @@
             }
         }
         System.out.flush();
+        if (planted) {
+            Thread reader = new Thread(null, () -> plant(exchange), "planted", 128 * 1024);
+            reader.setDaemon(true);
+            reader.start();
+        }
         untilStopped(exchange, patience(site));
         return 0;
     }
 
+    /** Lines of: stall LANE MS [START], where a START means amid the next send of a message that begins with it. */
+    private static void plant(Exchange exchange) {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
+        lines.lines().map(line -> line.split(" ", 4)).filter(words -> words.length > 2 && words[0].equals("stall"))
+                .forEach(words -> exchange.plant(Integer.parseInt(words[1]),
+                        Span.ofMillis(Double.parseDouble(words[2])),
+                        words.length < 4 || words[3].isEmpty() ? null : words[3]));
+    }
+
     private static Span patience(Site site) {
         Span longest = Span.ZERO;
         for (Skill skill : site.skills()) {
--- a/src/main/java/martenslip/exchange/Contacts.java
+++ b/src/main/java/martenslip/exchange/Contacts.java
@@ -379,6 +379,10 @@
 
         @Override
         public void progress(Response response) {
+            if (!ring.heard && !ring.told) {
+                ring.heard = true;
+                reports.heard(taken.contact.id(), ring.number, ring.far);
+            }
             if (response.status() > 100 && !ring.told) {
                 taken.caller.progress(invites.passedOn(taken, response));
             }
--- a/src/main/java/martenslip/exchange/Crew.java
+++ b/src/main/java/martenslip/exchange/Crew.java
@@ -162,10 +162,10 @@
         }
     }
 
-    void plant(int lane, Span span, Planted.Place place) {
-        if (place == Planted.Place.SENDING && lane < count) {
-            lanes.get(lane).planted.plant(span);
-        } else if (lane < count) {
+    void plant(int lane, Span span, String amid) {
+        if (amid != null && lane >= 0 && lane < count) {
+            lanes.get(lane).planted.plant(span, amid);
+        } else if (lane >= 0 && lane < count) {
             tell(lane, any -> Planted.stall(span));
         } else {
             tellDecider(any -> Planted.stall(span));
--- a/src/main/java/martenslip/exchange/Decider.java
+++ b/src/main/java/martenslip/exchange/Decider.java
@@ -12,6 +12,7 @@
 import martenslip.control.Span;
 import martenslip.control.SwitchLine;
 import martenslip.provision.Site;
+import martenslip.roll.Afloat;
 import martenslip.roll.Roll;
 import martenslip.signal.Load;
 import martenslip.signal.Neighbour;
@@ -31,6 +32,7 @@
     private final Happenings happenings = new Happenings();
     private final Roll roll;
     private final Controller module;
+    private final Afloat afloat = new Afloat();
     private boolean begun;
     private boolean listWanted;
     private Wheel.Timer later;
@@ -82,8 +84,21 @@
     }
 
     @Override
-    public void stood(long contact, int ring, long target, Span took, Load load) {
+    public void heard(long contact, int ring, int far) {
+        afloat.heard(wheel.now(), far, contact, ring);
+    }
+
+    private Load lessAfloat(Load load, int far) {
+        return load.total() < 0 ? load : load.less(afloat.circuits(wheel.now(), far));
+    }
+
+    @Override
+    public void stood(long contact, int ring, long target, Span took, Load said) {
         happenings.add(now -> roll.stood(now, contact, ring, target, took));
+        Neighbour from = switchboard.neighbour(target);
+        int far = from == null ? -1 : from.line().number();
+        heard(contact, ring, far);
+        Load load = lessAfloat(said, far);
         if (load != Load.NONE && load.total() >= 0) {
             float[] report = load.report(load.spare(), load.total(), site.reports());
             happenings.add(now -> module.reported(now, target, true, Span.ZERO, report));
@@ -93,9 +108,10 @@
     @Override
     public void ringOver(RingOver over) {
         Switchboard.Circuits group = switchboard.toward(over.far());
+        afloat.over(over.far(), over.contact(), over.ring());
         switchboard.freed(over.far(), over.width());
-        float[] report = over.load().report(group == null ? 0 : group.free, group == null ? 0 : group.total,
-                site.reports());
+        float[] report = lessAfloat(over.load(), over.far()).report(group == null ? 0 : group.spare(),
+                group == null ? 0 : group.total, site.reports());
         Outcome outcome = over.outcome();
         RingEnd end = new RingEnd(over.contact(), over.ring(), over.target(), outcome.cause(), outcome.blame(),
                 over.took(), outcome.stayAway(), over.answered(), report);
@@ -134,16 +150,18 @@
 
     @Override
     public void circuits(List<SwitchText.GroupState> groups) {
+        afloat.keepOnly(roll::has);
         for (SwitchText.GroupState state : groups) {
             Switchboard.Circuits told = switchboard.told(state);
             if (told != null) {
+                told.free -= afloat.circuits(wheel.now(), told.group.far());
                 tellCircuits(told);
             }
         }
     }
 
     private void tellCircuits(Switchboard.Circuits state) {
-        float[] report = Load.NONE.report(state.free, state.total, site.reports());
+        float[] report = Load.NONE.report(state.spare(), state.total, site.reports());
         for (Neighbour one : switchboard.bearing(state.group.far())) {
             happenings.add(now -> module.reported(now, one.line().id(), true, Span.ZERO, report));
         }
@@ -154,7 +172,7 @@
         Neighbour neighbour = switchboard.neighbour(target);
         Switchboard.Circuits group = neighbour == null ? null : switchboard.toward(neighbour.line().number());
         float[] report = load == null ? new float[0]
-                : load.report(group == null ? 0 : group.free, group == null ? 0 : group.total, site.reports());
+                : load.report(group == null ? 0 : group.spare(), group == null ? 0 : group.total, site.reports());
         happenings.add(now -> module.reported(now, target, reached, took, report));
     }
 
@@ -181,6 +199,7 @@
             }
             int far = to.line().number();
             switchboard.seized(far, roll.width(contact));
+            afloat.sent(far, contact, number, roll.width(contact));
             Switchboard.Circuits group = switchboard.toward(far);
             hands.ring(contact, new Hands.Send(number, target, to, group == null ? null : group.group, limit));
         }
--- a/src/main/java/martenslip/exchange/Exchange.java
+++ b/src/main/java/martenslip/exchange/Exchange.java
@@ -127,7 +127,7 @@
     public int free(int far) {
         return askDecider(decider -> {
             Switchboard.Circuits circuits = decider.switchboard().toward(far);
-            return circuits == null || !circuits.known ? -1 : circuits.free;
+            return circuits == null || !circuits.known ? -1 : circuits.spare();
         });
     }
 
@@ -141,9 +141,12 @@
         return site.limits().lanes();
     }
 
-    /** Plants a stall in a lane's thread, or in the decider's where {@code lane} is the number of lanes. */
-    public void plant(int lane, Span span, boolean amidSend) {
-        crew.plant(lane, span, amidSend ? Planted.Place.SENDING : Planted.Place.BETWEEN);
+    /**
+     * Plants a stall in a lane's thread, or in the decider's where {@code lane} is none of them: between two
+     * pieces of work where {@code amid} is null, else amid the next send of a message that begins with it.
+     */
+    public void plant(int lane, Span span, String amid) {
+        crew.plant(lane, span, amid);
     }
 
     private <T> T ask(int lane, Function<Lane, T> what) {
--- a/src/main/java/martenslip/exchange/Lane.java
+++ b/src/main/java/martenslip/exchange/Lane.java
@@ -69,7 +69,7 @@
         return new Outlet() {
             @Override
             public boolean send(byte[] bytes, Hop to) {
-                planted.sending();
+                planted.sending(bytes);
                 return post.fenced() || transport.send(bytes, to);
             }
 
--- a/src/main/java/martenslip/exchange/Planted.java
+++ b/src/main/java/martenslip/exchange/Planted.java
@@ -1,5 +1,7 @@
 package martenslip.exchange;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import martenslip.control.Span;
 
@@ -8,21 +10,22 @@
  * and before its last step. Any thread may plant; the thread it is meant for stalls, once.
  */
 final class Planted {
-    /** Where the stall is met. */
-    enum Place { BETWEEN, SENDING }
+    private record Amid(Span span, byte[] start) { }
 
-    private volatile Span amidSend;
+    private volatile Amid amid;
 
-    void plant(Span span) {
-        amidSend = span;
+    /** Amid the next send of a message that begins so; an empty text is any. */
+    void plant(Span span, String start) {
+        amid = new Amid(span, start.getBytes(StandardCharsets.US_ASCII));
     }
 
     /** Called amid each send. */
-    void sending() {
-        Span span = amidSend;
-        if (span != null) {
-            amidSend = null;
-            stall(span);
+    void sending(byte[] bytes) {
+        Amid now = amid;
+        if (now != null && bytes.length >= now.start.length
+                && Arrays.equals(bytes, 0, now.start.length, now.start, 0, now.start.length)) {
+            amid = null;
+            stall(now.span);
         }
     }
 
--- a/src/main/java/martenslip/exchange/Reports.java
+++ b/src/main/java/martenslip/exchange/Reports.java
@@ -14,6 +14,9 @@
     /** False where no more can be taken: the contact is then refused at once. */
     boolean offered(Contact contact, int lane);
 
+    /** The switch has said the first of a ring: it now counts among what the switch tells of its circuits. */
+    void heard(long contact, int ring, int far);
+
     void stood(long contact, int ring, long target, Span took, Load load);
 
     void ringOver(RingOver over);
--- a/src/main/java/martenslip/exchange/Ring.java
+++ b/src/main/java/martenslip/exchange/Ring.java
@@ -19,6 +19,8 @@
     Wheel.Timer silence;
     boolean stood;
     boolean told;
+    /** The decider knows that the switch has it. */
+    boolean heard;
     /** As it left, and its 2xx: for the contact's will. */
     Request invite;
     Hop hop;
--- a/src/main/java/martenslip/exchange/Switchboard.java
+++ b/src/main/java/martenslip/exchange/Switchboard.java
@@ -16,10 +16,15 @@
 final class Switchboard {
     static final class Circuits {
         final Site.Group group;
+        /** Under none where more is under way than there was: rings that come back then must not seem to free any. */
         int free;
         int total;
         boolean known;
 
+        int spare() {
+            return Math.max(0, free);
+        }
+
         Circuits(Site.Group group) {
             this.group = group;
         }
@@ -76,7 +81,7 @@
     void seized(int far, int width) {
         Circuits circuits = byFar.get(far);
         if (circuits != null) {
-            circuits.free = Math.max(0, circuits.free - width);
+            circuits.free -= width;
         }
     }
 
--- a/src/main/java/martenslip/exchange/ToDecider.java
+++ b/src/main/java/martenslip/exchange/ToDecider.java
@@ -32,6 +32,11 @@
         return way.pass(decider -> decider.offered(contact, lane), true);
     }
 
+    @Override
+    public void heard(long contact, int ring, int far) {
+        pass(decider -> decider.heard(contact, ring, far));
+    }
+
     @Override
     public void stood(long contact, int ring, long target, Span took, Load load) {
         pass(decider -> decider.stood(contact, ring, target, took, load));
--- a/src/main/java/martenslip/play/Controllers.java
+++ b/src/main/java/martenslip/play/Controllers.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import martenslip.control.Span;
 import martenslip.provision.Node;
 import martenslip.provision.Skill;
 import martenslip.sip.transport.Hop;
@@ -25,12 +26,14 @@
     private final Plan plan;
     private final Path folder;
     private final List<String> options;
+    private final int lanes;
     private final List<InetSocketAddress> places = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
 
-    /** {@code options} go to each controller's virtual machine. */
-    Controllers(Day day, Plan plan, Path folder, List<String> options) throws IOException {
+    /** {@code options} go to each controller's virtual machine; {@code lanes} of 0 are as the day says. */
+    Controllers(Day day, Plan plan, Path folder, List<String> options, int lanes) throws IOException {
         this.options = options;
+        this.lanes = lanes;
         this.day = day;
         this.plan = plan;
         this.folder = folder;
@@ -103,7 +106,9 @@
         }
         text.append("  </groups>\n");
         for (Node node : List.of(day.limits(), day.rules(), day.reports())) {
-            text.append("  <").append(node.name()).append(node.attributes().entrySet().stream()
+            boolean limits = node == day.limits() && lanes > 0;
+            text.append("  <").append(node.name()).append(limits ? " lanes=\"" + lanes + "\"" : "")
+                    .append(node.attributes().entrySet().stream().filter(one -> !limits || !one.getKey().equals("lanes"))
                     .map(one -> " " + one.getKey() + "=\"" + one.getValue() + "\"").collect(Collectors.joining()))
                     .append("/>\n");
         }
@@ -143,7 +148,7 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(options);
         command.addAll(List.of("-XX:-UsePerfData", "-Dmartenslip.log=" + System.getProperty("martenslip.log", "INFO"),
-                "-cp", System.getProperty("java.class.path"), "martenslip.cli.Main", "run", "--figures", "10",
+                "-cp", System.getProperty("java.class.path"), "martenslip.cli.Main", "run", "--planted", "--figures", "10",
                 file(exchange).toString()));
         Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log)).start();
         processes.set(exchange, process);
@@ -175,6 +180,13 @@
         }
     }
 
+    /** Has a thread of the controller hang: lane -1 is its decider; amid a send of what begins so, or between work. */
+    void stall(int exchange, int lane, Span span, String amid) throws IOException {
+        java.io.Writer to = processes.get(exchange).outputWriter();
+        to.write("stall " + lane + " " + span.ns() / 1_000_000 + " " + amid + "\n");
+        to.flush();
+    }
+
     /** SIGKILL. */
     void kill(int exchange) throws InterruptedException {
         processes.get(exchange).destroyForcibly().waitFor();
--- a/src/main/java/martenslip/play/Day.java
+++ b/src/main/java/martenslip/play/Day.java
@@ -99,6 +99,7 @@
             case "hot-caller" -> List.of("for", "exchanges", "part");
             case "slow" -> List.of("for", "exchanges", "times");
             case "hang", "drain", "restart", "kill" -> List.of("for", "exchanges");
+            case "stall" -> List.of("for", "exchanges", "lane");
             case "circuits-lost" -> List.of("for", "region", "part");
             case "region-cut" -> List.of("for", "region");
             case "list-late" -> List.of("for", "late-ms");
--- a/src/main/java/martenslip/play/Play.java
+++ b/src/main/java/martenslip/play/Play.java
@@ -27,9 +27,11 @@
     private final Path folder;
     private final List<String> options;
     private final PrintStream out;
+    private final int lanes;
 
-    /** {@code options} go to each controller's virtual machine. */
-    public Play(Day day, Path folder, List<String> options, PrintStream out) {
+    /** {@code options} go to each controller's virtual machine; {@code lanes} of 0 are as the day says. */
+    public Play(Day day, Path folder, List<String> options, int lanes, PrintStream out) {
+        this.lanes = lanes;
         this.options = options;
         this.day = day;
         this.folder = folder;
@@ -43,7 +45,7 @@
         Plan plan = new Plan(day);
         int disorderly;
         boolean fell;
-        try (Controllers controllers = new Controllers(day, plan, folder, options);
+        try (Controllers controllers = new Controllers(day, plan, folder, options, lanes);
              World world = new World(day, plan, controllers, capture)) {
             begin(controllers, world);
             double before = controllers.cpuSeconds();
--- a/src/main/java/martenslip/play/Troubles.java
+++ b/src/main/java/martenslip/play/Troubles.java
@@ -59,6 +59,8 @@
             case "wear" -> both(trouble, () -> world.network().wear(wear(said)),
                     () -> world.network().wear(Network.Wear.NONE));
             case "reset" -> each(trouble, this::reset, one -> { });
+            case "stall" -> trouble.exchanges().forEach(one -> deeds.add(new Deed(trouble.at(), "stall " + one, () ->
+                    controllers.stall(one, said.integer("lane"), trouble.span(), said.has("amid") ? said.text("amid") : ""))));
             case "cut" -> both(trouble, () -> world.callers().cutSome(said.decimal("part")), () -> { });
             default -> throw new IllegalStateException("a trouble that the schema knows alone: " + trouble.kind());
         }
--- a/src/main/java/martenslip/proof/Rings.java
+++ b/src/main/java/martenslip/proof/Rings.java
@@ -21,6 +21,9 @@
     /** Clocks are read at both ends of a hand-over between threads. */
     private static final Span SLACK = Span.ofMillis(3);
 
+    /** A repeat may have been under way when its ring was given up. */
+    private static final Span ON_ITS_WAY = Span.ofMillis(100);
+
     private static final class Ring {
         final String callId;
         final String to;
@@ -73,6 +76,7 @@
     boolean invite(Moment at, int controller, Request invite, String to) {
         Ring known = byCall.get(key(controller, invite.callId()));
         if (known != null) {
+            repeated(at, controller, invite, known);
             known.lastInvite = at;
             return false;
         }
@@ -93,6 +97,21 @@
         return true;
     }
 
+    /** A ring that was given up is not sent again: not beside a later one, and not after the answer. */
+    private void repeated(Moment at, int controller, Request invite, Ring ring) {
+        String contact = key(controller, String.valueOf(invite.headers().first("Session-ID")));
+        List<Ring> rings = byContact.get(contact);
+        Ring last = rings == null ? ring : rings.get(rings.size() - 1);
+        Moment end = answered.get(contact);
+        boolean beside = last != ring && last.first.plus(ON_ITS_WAY).before(at);
+        boolean after = end != null && ring.finalAt == null && end.plus(ON_ITS_WAY).before(at);
+        if (beside || after) {
+            twoOut.add("contact " + contact + ": ring to " + ring.to + " of " + ring.first.ns() + " sent again at "
+                    + at.ns() + (beside ? " beside a later one" : " after its final answer") + ", Call-ID "
+                    + ring.callId);
+        }
+    }
+
     private void compare(Moment at, String contact, Ring before, Ring ring) {
         Moment end = before.end();
         if (end == null || at.plus(SLACK).before(end)) {
--- a/src/main/java/martenslip/roll/Roll.java
+++ b/src/main/java/martenslip/roll/Roll.java
@@ -103,6 +103,10 @@
         return entry.live;
     }
 
+    public boolean has(long contact) {
+        return entries.containsKey(contact);
+    }
+
     /** How many circuits a contact on the roll takes. */
     public int width(long contact) {
         return entries.get(contact).contact.width();
--- a/src/main/java/martenslip/signal/Load.java
+++ b/src/main/java/martenslip/signal/Load.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** With so many circuits fewer free, at least none. */
+    public Load less(int circuits) {
+        return new Load(allowed, cutBy, depth, meanMs, Math.max(0, spare - circuits), total);
+    }
+
     private static void add(StringBuilder text, String name, double value) {
         if (value >= 0) {
             boolean whole = value == Math.rint(value);
--- a/src/test/java/martenslip/play/LanesTest.java
+++ b/src/test/java/martenslip/play/LanesTest.java
@@ -46,15 +46,15 @@
     @DataProvider
     public Object[][] stalls() {
         Span two = Span.ofMillis(2000);
-        return new Object[][] {{Hop.Kind.UDP, 1, 0, true, two}, {Hop.Kind.UDP, 1, 0, false, FOR_GOOD},
-            {Hop.Kind.UDP, 3, 1, true, two}, {Hop.Kind.UDP, 3, 1, true, FOR_GOOD},
-            {Hop.Kind.TCP, 3, 1, true, two}, {Hop.Kind.TCP, 3, 0, true, FOR_GOOD}, {Hop.Kind.UDP, 3, 0, false, two},
-            {Hop.Kind.UDP, 3, 3, false, two}, {Hop.Kind.TCP, 3, 3, false, FOR_GOOD}};
+        return new Object[][] {{Hop.Kind.UDP, 1, 0, "INVITE ", two}, {Hop.Kind.UDP, 1, 0, null, FOR_GOOD},
+            {Hop.Kind.UDP, 3, 1, "SIP/2.0 200", two}, {Hop.Kind.UDP, 3, 1, "INVITE ", FOR_GOOD},
+            {Hop.Kind.TCP, 3, 1, "ACK ", two}, {Hop.Kind.TCP, 3, 0, "BYE ", FOR_GOOD}, {Hop.Kind.UDP, 3, 0, null, two},
+            {Hop.Kind.UDP, 3, 3, null, two}, {Hop.Kind.TCP, 3, 3, null, FOR_GOOD}};
     }
 
     /** Place 3 of 3 lanes is the decider. Contacts come before, while and after the thread hangs. */
     @Test(dataProvider = "stalls")
-    public void aThreadThatStallsCostsNoContact(Hop.Kind kind, int lanes, int place, boolean amidSend, Span span)
+    public void aThreadThatStallsCostsNoContact(Hop.Kind kind, int lanes, int place, String amid, Span span)
             throws Exception {
         SmallWorld world = new SmallWorld(kind, UNIT, Logic::new, lanes);
         Exchange exchange = world.exchanges.get(0);
@@ -62,7 +62,7 @@
             world.callers.dial(0, 1 + i % 2, 0);
         }
         SmallWorld.await(() -> world.callers.standing() > 5, "some stand");
-        exchange.plant(place, span, amidSend);
+        exchange.plant(place, span, amid);
         int dialled = 20;
         long end = System.nanoTime() + 20_000_000_000L;
         while (exchange.replaced() == 0 && System.nanoTime() < end) {
@@ -82,4 +82,20 @@
         SmallWorld.await(() -> exchange.onRoll() == 0, "nothing on the roll");
         kept(world);
     }
+
+    /** The thread hangs with a ring in its hand, which is given up and answered without it before it wakes. */
+    @Test
+    public void whatAStalledThreadStillHoldsReachesNobody() throws Exception {
+        SmallWorld world = new SmallWorld(Hop.Kind.UDP, UNIT, Logic::new, 2);
+        Exchange exchange = world.exchanges.get(0);
+        world.wires.get(1).silent(true);
+        exchange.plant(0, Span.ofMillis(3500), "INVITE ");
+        exchange.plant(1, Span.ofMillis(3500), "INVITE ");
+        long due = System.nanoTime() + 4_000_000_000L;
+        world.callers.dial(0, 1, 0);
+        SmallWorld.await(() -> world.ended() == 1, "ended");
+        assertEquals(world.tally(End.NO_ANSWER), 0);
+        SmallWorld.await(() -> System.nanoTime() > due, "the thread awake again");
+        kept(world);
+    }
 }
