--- /dev/null
+++ b/src/main/java/martenslip/cli/ExpectCommand.java
@@ -0,0 +1,104 @@
+package martenslip.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import martenslip.Logic;
+import martenslip.expect.Check;
+import martenslip.expect.Contradictions;
+import martenslip.expect.ExpectFile;
+import martenslip.expect.Expectation;
+import martenslip.provision.Rejected;
+import martenslip.provision.Site;
+import martenslip.provision.SiteFile;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Exit codes: 0 all hold, 1 one is broken, 3 two contradict each other, 4 a file is malformed, 2 called wrongly. */
+@Command(name = "expect", mixinStandardHelpOptions = true,
+        description = "Checks routing expectations against an exchange's file, without traffic.")
+final class ExpectCommand implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "FILE", description = "The expectations.")
+    private Path file;
+
+    @Option(names = "--site", required = true, paramLabel = "XML", description = "The exchange that they are of.")
+    private Path siteFile;
+
+    @Option(names = "--others", paramLabel = "FOLDER",
+            description = "Files of other exchanges: as tandems they then decide as they would.")
+    private Path others;
+
+    @Option(names = "--cover", description = "Name skills and destinations that none speaks of.")
+    private boolean cover;
+
+    @Option(names = "--suggest", description = "Write expectations that hold today.")
+    private boolean suggest;
+
+    @Override
+    public Integer call() {
+        try {
+            Site site = SiteFile.read(siteFile);
+            Map<Integer, Site> sites = new TreeMap<>();
+            for (Path one : folder()) {
+                Site other = SiteFile.read(one);
+                sites.put(other.number(), other);
+            }
+            sites.put(site.number(), site);
+            ExpectFile.Read read = ExpectFile.read(file.toString(), Files.readString(file), site);
+            return check(read, new Check(sites, site.number(), read, Logic::new));
+        } catch (Rejected e) {
+            System.err.println(e.getMessage());
+            return 4;
+        } catch (IOException e) {
+            System.err.println("martenslip: " + e);
+            return 2;
+        }
+    }
+
+    private List<Path> folder() throws IOException {
+        if (others == null) {
+            return List.of();
+        }
+        try (Stream<Path> all = Files.list(others)) {
+            return all.filter(one -> one.toString().endsWith(".xml")).sorted().toList();
+        }
+    }
+
+    private int check(ExpectFile.Read read, Check check) {
+        long began = System.nanoTime();
+        List<Contradictions.Pair> pairs = Contradictions.among(read.expectations());
+        for (Contradictions.Pair pair : pairs) {
+            System.out.println(file + ":" + pair.one().line() + " and :" + pair.other().line() + " contradict each other ("
+                    + pair.why() + ")" + (pair.state().isEmpty() ? "" : " while " + pair.state()) + "\n    "
+                    + pair.one().text() + "\n    " + pair.other().text());
+        }
+        if (!pairs.isEmpty()) {
+            return 3;
+        }
+        List<Check.Verdict> broken = new ArrayList<>();
+        for (Expectation one : read.expectations()) {
+            Check.Verdict verdict = check.of(one);
+            if (!verdict.holds()) {
+                broken.add(verdict);
+                System.out.println(file + ":" + one.line() + " broken: " + one.text() + "\n    " + verdict.why());
+            }
+        }
+        System.out.printf(java.util.Locale.ROOT, "%d expectations, %d hold, %d broken; %d trials in %.1f s%n",
+                read.expectations().size(), read.expectations().size() - broken.size(), broken.size(), check.trials(),
+                (System.nanoTime() - began) / 1e9);
+        if (cover) {
+            check.uncovered(read.expectations()).forEach(one -> System.out.println("not spoken of: " + one));
+        }
+        if (suggest) {
+            check.suggested().forEach(System.out::println);
+        }
+        return broken.isEmpty() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/expect/Contradictions.java
@@ -0,0 +1,113 @@
+package martenslip.expect;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import martenslip.expect.Expectation.Condition;
+import martenslip.expect.Expectation.Often;
+import martenslip.expect.Expectation.Outcome;
+import martenslip.expect.Expectation.Route;
+
+/**
+ * Pairs of expectations that can't both hold in one state. An expectation without conditions speaks of the state in
+ * which nothing is wrong, so it meets none that has some.
+ */
+public final class Contradictions {
+    /** The two, why, and a state in which both are demanded. */
+    public record Pair(Expectation one, Expectation other, String why, List<Condition> state) { }
+
+    private Contradictions() {
+    }
+
+    public static List<Pair> among(List<Expectation> all) {
+        List<Pair> pairs = new ArrayList<>();
+        for (int i = 0; i < all.size(); i++) {
+            for (int j = i + 1; j < all.size(); j++) {
+                List<Condition> state = together(all.get(i), all.get(j));
+                String why = state == null || !meet(all.get(i), all.get(j)) ? null : why(all.get(i), all.get(j));
+                if (why != null) {
+                    pairs.add(new Pair(all.get(i), all.get(j), why, state));
+                }
+            }
+        }
+        return pairs;
+    }
+
+    /** True where some contact is spoken of by both. */
+    private static boolean meet(Expectation a, Expectation b) {
+        boolean skill = a.skill() < 0 || b.skill() < 0 || a.skill() == b.skill();
+        return skill && overlap(a.from(), b.from()) && overlap(a.to(), b.to());
+    }
+
+    private static boolean overlap(Set<Integer> a, Set<Integer> b) {
+        return a.isEmpty() || b.isEmpty() || a.stream().anyMatch(b::contains);
+    }
+
+    /** The least state that meets both conditions, or null where they exclude each other. */
+    static List<Condition> together(Expectation a, Expectation b) {
+        if (a.conditions().isEmpty() != b.conditions().isEmpty()) {
+            return null;
+        }
+        Set<Condition> all = new LinkedHashSet<>(a.conditions());
+        all.addAll(b.conditions());
+        Set<Object> spoken = new HashSet<>();
+        for (Condition one : all) {
+            Object of = one instanceof Condition.Desk desk ? (Object) desk.exchange()
+                    : one instanceof Condition.Group group ? group.name() : "cut";
+            if (!spoken.add(of)) {
+                return null;
+            }
+        }
+        return List.copyOf(all);
+    }
+
+    private static String why(Expectation a, Expectation b) {
+        if (a.outcome() instanceof Outcome.Goes one && b.outcome() instanceof Outcome.Goes other) {
+            return routes(a, one.routes().get(0), b, other.routes().get(0));
+        }
+        boolean same = a.outcome().getClass() == b.outcome().getClass();
+        if (same) {
+            return clash(a.often(), b.often()) ? "one says never" : null;
+        }
+        boolean goes = a.outcome() instanceof Outcome.Goes || b.outcome() instanceof Outcome.Goes;
+        if (goes) {
+            // A contact that was rung for may still stand or be deferred.
+            return null;
+        }
+        return shares(a) + shares(b) > 100 ? "a contact that stands is not deferred" : null;
+    }
+
+    private static boolean clash(Often a, Often b) {
+        return a == Often.NEVER && b != Often.NEVER || b == Often.NEVER && a != Often.NEVER;
+    }
+
+    /** What part of contacts it claims, at least. */
+    private static int shares(Expectation one) {
+        return switch (one.often()) {
+            case ALWAYS -> 100;
+            case AT_LEAST -> one.percent();
+            case MAY -> 1;
+            case NEVER -> 0;
+        };
+    }
+
+    private static String routes(Expectation a, Route one, Expectation b, Route other) {
+        if (a.often() == Often.NEVER && b.often() == Often.NEVER) {
+            return null;
+        }
+        if (a.often() == Often.NEVER || b.often() == Often.NEVER) {
+            Route never = a.often() == Often.NEVER ? one : other;
+            Route wanted = a.often() == Often.NEVER ? other : one;
+            boolean within = never.via().isEmpty() ? wanted.via().isEmpty()
+                    : !wanted.via().isEmpty() && never.via().containsAll(wanted.via());
+            return within ? "one says never" : null;
+        }
+        boolean apart = one.via().isEmpty() != other.via().isEmpty()
+                || !one.via().isEmpty() && one.via().stream().noneMatch(other.via()::contains);
+        return apart && shares(a) + shares(b) > 100 && !Objects.equals(one, other)
+                ? "the first ring can't go both ways" + (shares(a) + shares(b) < 200 ? " that often" : "") : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/expect/Trial.java
@@ -0,0 +1,304 @@
+package martenslip.expect;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import martenslip.control.Blame;
+import martenslip.control.Cause;
+import martenslip.control.Contact;
+import martenslip.control.Controller;
+import martenslip.control.Moment;
+import martenslip.control.Orders;
+import martenslip.control.RingEnd;
+import martenslip.control.Span;
+import martenslip.control.SwitchLine;
+import martenslip.expect.Expectation.Condition;
+import martenslip.provision.Site;
+import martenslip.provision.Skill;
+
+/**
+ * One contact through the very module, in a world that is told by hand: lists, groups and reports as the conditions
+ * say, time driven. Tandems whose files are known decide with a module of their own; others turn back, or all lead on where no file but
+ * the first is known. Deterministic by
+ * its seed; without I/O.
+ */
+public final class Trial {
+    /** Makes the module; trials know it by its interface only. */
+    public interface Maker {
+        Controller make(Map<String, String> settings, long seed, Moment now, Orders orders);
+    }
+
+    public enum End { STOOD, DEFERRED, ABANDONED }
+
+    /** The exchanges that the first exchange's rings went to, in turn, with what became of each, and the end. */
+    public record Path(List<Integer> tries, List<String> became, End end) { }
+
+    private static final Span SET_UP = Span.ofMillis(5);
+    private static final Moment START = new Moment(Span.ofMillis(1_000_000).ns());
+    /** Past each rule's span, so a state is settled when the contact comes. */
+    private static final Span SETTLED = Span.ofMillis(60_000);
+
+    private record Event(Moment at, long order, Runnable what) { }
+
+    private final Map<Integer, Site> sites;
+    private final Map<Integer, String> regions;
+    private final Site origin;
+    private final Maker maker;
+    private final long seed;
+    private final Map<Integer, Condition.State> desks = new HashMap<>();
+    private final Map<String, Integer> groups = new HashMap<>();
+    private final Map<Integer, Node> nodes = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            Comparator.comparing(Event::at).thenComparing(Event::order));
+    private final List<Integer> tries = new ArrayList<>();
+    private final List<String> became = new ArrayList<>();
+    private String cut;
+    private long orders;
+    private Moment now = START;
+    private End end;
+
+    /** {@code sites} holds the files of this and, as far as known, other exchanges. */
+    public Trial(Map<Integer, Site> sites, int origin, Map<Integer, String> regions, Maker maker,
+                 List<Condition> conditions, long seed) {
+        this.sites = sites;
+        this.origin = sites.get(origin);
+        this.regions = regions;
+        this.maker = maker;
+        this.seed = seed;
+        for (Condition one : conditions) {
+            if (one instanceof Condition.Desk desk) {
+                desks.put(desk.exchange(), desk.state());
+            } else if (one instanceof Condition.Group group) {
+                groups.put(group.name(), group.free());
+            } else if (one instanceof Condition.Cut region) {
+                cut = region.region();
+            }
+        }
+    }
+
+    /** Offers a contact of the skill for the exchange, and gives its way; each event is taken at its time. */
+    public Path offer(int skill, int destination) {
+        Node first = node(origin.number());
+        Skill is = origin.skills().get(skill);
+        Moment until = now.plus(SETTLED).plus(is.patience()).plus(Span.ofMillis(1000));
+        first.take(destination, skill, -1, is.patience(), null);
+        while (end == null && !events.isEmpty() && events.peek().at().before(until)) {
+            Event next = events.poll();
+            now = next.at();
+            next.what().run();
+        }
+        return new Path(List.copyOf(tries), List.copyOf(became), end == null ? End.ABANDONED : end);
+    }
+
+    private void later(Span span, Runnable what) {
+        events.add(new Event(now.plus(span), orders++, what));
+    }
+
+    private Node node(int number) {
+        return nodes.computeIfAbsent(number, any -> new Node(sites.get(number)));
+    }
+
+    private boolean away(int exchange) {
+        return desks.get(exchange) == Condition.State.GONE || severed(origin.number(), exchange);
+    }
+
+    private boolean severed(int a, int b) {
+        return cut != null && cut.equals(regions.get(a)) != cut.equals(regions.get(b));
+    }
+
+    private interface Back {
+        void stood();
+
+        void turned(Cause cause, Blame blame);
+    }
+
+    /** One exchange with its module. */
+    private final class Node implements Orders {
+        private final Site site;
+        private final Controller module;
+        private final Map<Long, Back> callers = new HashMap<>();
+        private final Map<Long, Contact> contacts = new HashMap<>();
+        private final Map<Long, Integer> rings = new HashMap<>();
+        private long ids;
+
+        Node(Site site) {
+            this.site = site;
+            module = maker.make(site.settings(Span.ofMillis(25)), seed * 1009 + site.number(), now, this);
+            List<SwitchLine> lines = new ArrayList<>();
+            for (int far : site.numbering().exchanges()) {
+                Condition.State state = desks.get(far);
+                if (state != Condition.State.GONE) {
+                    boolean cold = state == Condition.State.COLD;
+                    lines.add(new SwitchLine(far + 1, far, state == Condition.State.DRAINING
+                            ? SwitchLine.State.DRAINING : SwitchLine.State.READY, cold ? now : null,
+                            site.regions().indexOf(regions.getOrDefault(far, ""))));
+                }
+            }
+            module.listed(now, Controller.ListKind.WHOLE, lines);
+            for (Site.Group group : site.groups().values()) {
+                if (desks.get(group.far()) != Condition.State.GONE) {
+                    int free = free(group);
+                    report(group.far(), Math.max(0, free), free < 0 ? 0 : group.circuits());
+                }
+            }
+        }
+
+        private int free(Site.Group group) {
+            return groups.getOrDefault(group.name(), group.circuits());
+        }
+
+        /** A pressed processor says so in each field that the exchange asks for; an easy one says so too. */
+        private void report(int far, int free, int total) {
+            boolean pressed = desks.get(far) == Condition.State.PRESSED;
+            float[] report = new float[2 + site.reports().size()];
+            report[0] = free;
+            report[1] = total;
+            for (int i = 0; i < site.reports().size(); i++) {
+                report[2 + i] = switch (site.reports().get(i)) {
+                    case "allowed" -> 100;
+                    case "cut_by", "depth", "mean_ms" -> 0;
+                    default -> -1;
+                };
+            }
+            // What a processor allows is judged against its usual, so that comes first.
+            module.reported(now, far + 1, true, Span.ZERO, report.clone());
+            for (int i = 0; pressed && i < site.reports().size(); i++) {
+                report[2 + i] = switch (site.reports().get(i)) {
+                    case "allowed" -> 1;
+                    case "cut_by" -> 0.99f;
+                    case "depth" -> 200;
+                    case "mean_ms" -> 1500;
+                    default -> -1;
+                };
+            }
+            if (pressed) {
+                module.reported(now, far + 1, true, Span.ZERO, report);
+            }
+        }
+
+        void take(int destination, int skill, int from, Span patience, Back back) {
+            long id = ++ids;
+            Skill is = site.skills().get(skill);
+            String digits = site.numbering().leadingTo(destination);
+            Contact contact = new Contact(id, skill, Long.parseLong(digits.replace("+", "")), destination, from,
+                    is.width(), patience, false, from >= 0, false);
+            contacts.put(id, contact);
+            callers.put(id, back);
+            // A drain is demanded of once its grace is over.
+            Span wait = desks.containsValue(Condition.State.DRAINING) && from < 0 ? SETTLED : Span.ZERO;
+            later(wait, () -> module.offered(now, contact));
+        }
+
+        @Override
+        public void ring(long id, long target, Span limit) {
+            Contact contact = contacts.get(id);
+            int number = rings.merge(id, 1, Integer::sum) - 1;
+            int far = (int) target - 1;
+            boolean mine = site == origin;
+            if (mine) {
+                tries.add(far);
+            }
+            Back back = new Back() {
+                @Override
+                public void stood() {
+                    told("stood");
+                    module.stands(now, id, number, target, SET_UP);
+                    finish(id, End.STOOD);
+                }
+
+                @Override
+                public void turned(Cause cause, Blame blame) {
+                    told(cause + (blame == Blame.NONE ? "" : " " + blame));
+                    module.ringEnded(now, new RingEnd(id, number, target, cause, blame, SET_UP, Span.ZERO, false,
+                            new float[0]));
+                }
+
+                private void told(String what) {
+                    if (mine) {
+                        became.add(what.toLowerCase(java.util.Locale.ROOT));
+                    }
+                }
+            };
+            later(SET_UP, () -> sent(contact, far, limit, back));
+        }
+
+        private void sent(Contact contact, int far, Span limit, Back back) {
+            Site.Group group = site.groups().get(far);
+            if (away(far) || severed(site.number(), far)) {
+                later(limit.most(Span.ofMillis(900)), () -> back.turned(Cause.TIMED_OUT, Blame.NONE));
+            } else if (desks.get(far) == Condition.State.PRESSED) {
+                back.turned(Cause.TURNED_BACK, Blame.PROCESSOR);
+            } else if (group != null && free(group) < contact.width()) {
+                back.turned(Cause.TURNED_BACK, Blame.NO_CIRCUIT);
+            } else if (far == contact.destination() || sites.size() == 1) {
+                back.stood();
+            } else if (!sites.containsKey(far)) {
+                back.turned(Cause.TURNED_BACK, Blame.TANDEM);
+            } else {
+                node(far).take(contact.destination(), contact.skill(), site.number(), limit, back);
+            }
+        }
+
+        private void finish(long id, End how) {
+            Back back = callers.remove(id);
+            if (site == origin) {
+                end = end == null ? how : end;
+            } else if (back != null) {
+                if (how == End.STOOD) {
+                    back.stood();
+                } else {
+                    back.turned(Cause.TURNED_BACK, Blame.TANDEM);
+                }
+            }
+        }
+
+        @Override
+        public void callOff(long contact, int ring) {
+            // Nothing is left to hear of it.
+        }
+
+        @Override
+        public void defer(long contact, Span comeBack) {
+            finish(contact, End.DEFERRED);
+        }
+
+        @Override
+        public void abandon(long contact) {
+            finish(contact, End.ABANDONED);
+        }
+
+        @Override
+        public void clock(Span delay, long token) {
+            later(delay, () -> module.clockRung(now, token));
+        }
+
+        @Override
+        public void probe(long target) {
+            boolean reached = !away((int) target - 1);
+            later(SET_UP, () -> module.reported(now, target, reached, SET_UP, new float[0]));
+        }
+
+        @Override
+        public void note(int peer, byte[] note) {
+            // Peers have nothing to add to a world of one contact.
+        }
+
+        @Override
+        public void askList() {
+            // It was told whole.
+        }
+
+        @Override
+        public void watchList(boolean on) {
+            // It was told whole, and stays so.
+        }
+
+        @Override
+        public void log(String line) {
+            // The way itself is what is asked for.
+        }
+    }
+}
--- a/src/main/java/martenslip/provision/Prefixes.java
+++ b/src/main/java/martenslip/provision/Prefixes.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** Numbers to exchanges by the longest prefix that was given. Immutable once built. */
 public final class Prefixes {
@@ -21,6 +23,11 @@
                 .min(String::compareTo).orElse(null);
     }
 
+    /** All exchanges that some prefix leads to. */
+    public SortedSet<Integer> exchanges() {
+        return new TreeSet<>(exchanges.values());
+    }
+
     /** The exchange where the number ends, or -1. */
     public int exchange(String number) {
         for (int length = Math.min(longest, number.length()); length > 0; length--) {
