--- a/src/main/antlr4/martenslip/expect/Expect.g4
+++ b/src/main/antlr4/martenslip/expect/Expect.g4
@@ -29,8 +29,8 @@
 conditions : 'while' condition ('and' condition)* ;
 
 condition
-    : NAME 'is' state=('draining' | 'gone' | 'cold' | 'pressed')    # deskState
-    | 'it' 'is' state=('draining' | 'gone' | 'cold' | 'pressed')    # itsState
+    : NAME 'is' state=('draining' | 'gone' | 'cold' | 'pressed' | 'silent')    # deskState
+    | 'it' 'is' state=('draining' | 'gone' | 'cold' | 'pressed' | 'silent')    # itsState
     | 'group' NAME 'is' state=('full' | 'gone')                     # groupState
     | 'group' NAME 'has' NUMBER 'free'                              # groupFree
     | 'region' NAME 'is' 'cut' 'off'                                # regionCut
--- a/src/main/java/martenslip/cli/BenchCommand.java
+++ b/src/main/java/martenslip/cli/BenchCommand.java
@@ -17,7 +17,7 @@
 @Command(name = "bench", mixinStandardHelpOptions = true,
         description = "Measures this program on this machine; 'cores' is one exchange on several lanes.")
 final class BenchCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "WHAT", description = "cores")
+    @Parameters(paramLabel = "WHAT", description = "cores, or full: only the groups that are full")
     private String what;
 
     @Option(names = "--lanes", split = ",", defaultValue = "1,2,4,8", description = "Counts of lanes.")
@@ -39,15 +39,17 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        if (!what.equals("cores")) {
+        if (!what.equals("cores") && !what.equals("full")) {
             System.err.println("martenslip: nothing called " + what + " is measured");
             return 2;
         }
         try {
             CoresBench bench = new CoresBench(into, List.of(options.trim().split(" +")), seconds, System.out);
-            List<CoresBench.Row> rows = bench.rates(lanes, rates);
-            write(rows);
-            CoresChart.write(rows, into.resolve("cores.svg"));
+            if (what.equals("cores")) {
+                List<CoresBench.Row> rows = bench.rates(lanes, rates);
+                write(rows);
+                CoresChart.write(rows, into.resolve("cores.svg"));
+            }
             bench.full(lanes);
             System.out.flush();
             return 0;
--- a/src/main/java/martenslip/cli/ExpectCommand.java
+++ b/src/main/java/martenslip/cli/ExpectCommand.java
@@ -41,6 +41,15 @@
     @Option(names = "--suggest", description = "Write expectations that hold today.")
     private boolean suggest;
 
+    @Option(names = "--findings", description = "Name what is weak with no expectation written.")
+    private boolean findings;
+
+    @Option(names = "--against", paramLabel = "XML", description = "An older file of the exchange: tells what changes.")
+    private Path against;
+
+    @Option(names = "--junit", paramLabel = "FILE", description = "Write the outcome as JUnit does, for CI.")
+    private Path junit;
+
     @Override
     public Integer call() {
         try {
@@ -52,7 +61,13 @@
             }
             sites.put(site.number(), site);
             ExpectFile.Read read = ExpectFile.read(file.toString(), Files.readString(file), site);
-            return check(read, new Check(sites, site.number(), read, Logic::new));
+            Check older = null;
+            if (against != null) {
+                Map<Integer, Site> before = new TreeMap<>(sites);
+                before.put(site.number(), SiteFile.read(against));
+                older = new Check(before, site.number(), read, Logic::new);
+            }
+            return check(read, new Check(sites, site.number(), read, Logic::new), older);
         } catch (Rejected e) {
             System.err.println(e.getMessage());
             return 4;
@@ -71,7 +86,24 @@
         }
     }
 
-    private int check(ExpectFile.Read read, Check check) {
+    private String junit(List<Check.Verdict> all) {
+        StringBuilder text = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<testsuite name=\"")
+                .append(escaped(file.toString())).append("\" tests=\"").append(all.size()).append("\" failures=\"")
+                .append(all.stream().filter(one -> !one.holds()).count()).append("\">\n");
+        for (Check.Verdict one : all) {
+            text.append("  <testcase classname=\"").append(escaped(file.getFileName().toString())).append("\" name=\"line ")
+                    .append(one.expectation().line()).append(": ").append(escaped(one.expectation().text())).append('"');
+            text.append(one.holds() ? "/>\n"
+                    : "><failure message=\"" + escaped(one.why()) + "\"/></testcase>\n");
+        }
+        return text.append("</testsuite>\n").toString();
+    }
+
+    private static String escaped(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+    }
+
+    private int check(ExpectFile.Read read, Check check, Check older) throws IOException {
         long began = System.nanoTime();
         List<Contradictions.Pair> pairs = Contradictions.among(read.expectations());
         for (Contradictions.Pair pair : pairs) {
@@ -83,8 +115,14 @@
             return 3;
         }
         List<Check.Verdict> broken = new ArrayList<>();
+        List<Check.Verdict> all = new ArrayList<>();
         for (Expectation one : read.expectations()) {
             Check.Verdict verdict = check.of(one);
+            all.add(verdict);
+            if (older != null && older.of(one).holds() != verdict.holds()) {
+                System.out.println(file + ":" + one.line() + (verdict.holds() ? " now holds: " : " now breaks: ")
+                        + one.text());
+            }
             if (!verdict.holds()) {
                 broken.add(verdict);
                 System.out.println(file + ":" + one.line() + " broken: " + one.text() + "\n    " + verdict.why());
@@ -93,6 +131,12 @@
         System.out.printf(java.util.Locale.ROOT, "%d expectations, %d hold, %d broken; %d trials in %.1f s%n",
                 read.expectations().size(), read.expectations().size() - broken.size(), broken.size(), check.trials(),
                 (System.nanoTime() - began) / 1e9);
+        if (junit != null) {
+            Files.writeString(junit, junit(all));
+        }
+        if (findings) {
+            check.findings().forEach(one -> System.out.println("finding: " + one));
+        }
         if (cover) {
             check.uncovered(read.expectations()).forEach(one -> System.out.println("not spoken of: " + one));
         }
--- a/src/main/java/martenslip/expect/Check.java
+++ b/src/main/java/martenslip/expect/Check.java
@@ -180,6 +180,31 @@
         return left;
     }
 
+    /** What is wrong or weak with no expectation written: unreachable desks, desks that hang on one tandem, prefixes. */
+    public List<String> findings() {
+        List<String> found = new ArrayList<>();
+        int skill = origin.usual();
+        for (int far : destinations(null)) {
+            Set<Integer> by = new java.util.TreeSet<>();
+            int stood = 0;
+            for (int seed = 0; seed < TRIALS; seed++) {
+                Trial.Path path = path(skill, far, List.of(), seed);
+                stood += path.end() == Trial.End.STOOD ? 1 : 0;
+                if (path.end() == Trial.End.STOOD) {
+                    by.add(path.tries().get(path.tries().size() - 1));
+                }
+            }
+            if (stood == 0) {
+                found.add("nothing reaches " + name(far) + ": it went " + told(path(skill, far, List.of(), 0), far));
+            } else if (by.size() == 1 && !by.contains(far)) {
+                found.add(name(far) + " is reached by one tandem alone, " + name(by.iterator().next()));
+            }
+        }
+        origin.numbering().redundant().forEach(digits ->
+                found.add("prefix " + digits + " changes nothing: a shorter one leads to the same exchange"));
+        return found;
+    }
+
     /** An expectation for each skill and destination, as it holds today with nothing wrong. */
     public List<String> suggested() {
         List<String> lines = new ArrayList<>();
--- a/src/main/java/martenslip/expect/Expectation.java
+++ b/src/main/java/martenslip/expect/Expectation.java
@@ -35,7 +35,7 @@
 
     /** What must be so for the expectation to be demanded. */
     public sealed interface Condition {
-        enum State { DRAINING, GONE, COLD, PRESSED }
+        enum State { DRAINING, GONE, COLD, PRESSED, SILENT }
 
         record Desk(int exchange, State state) implements Condition { }
 
--- a/src/main/java/martenslip/expect/Trial.java
+++ b/src/main/java/martenslip/expect/Trial.java
@@ -83,7 +83,10 @@
     public Path offer(int skill, int destination) {
         Node first = node(origin.number());
         Skill is = origin.skills().get(skill);
-        Moment until = now.plus(SETTLED).plus(is.patience()).plus(Span.ofMillis(1000));
+        Moment until = now.plus(SETTLED).plus(is.patience().times(2)).plus(Span.ofMillis(1000));
+        if (desks.containsValue(Condition.State.SILENT)) {
+            hush(first, until);
+        }
         first.take(destination, skill, -1, is.patience(), null);
         while (end == null && !events.isEmpty() && events.peek().at().before(until)) {
             Event next = events.poll();
@@ -93,6 +96,23 @@
         return new Path(List.copyOf(tries), List.copyOf(became), end == null ? End.ABANDONED : end);
     }
 
+    /** A switch is known as silent by a ring that it swallowed: contacts for it come first, and are let hang. */
+    private void hush(Node first, Moment until) {
+        desks.forEach((exchange, state) -> {
+            if (state == Condition.State.SILENT && exchange != origin.number()) {
+                first.take(exchange, origin.usual(), -1, origin.skills().get(origin.usual()).patience(), null);
+            }
+        });
+        while (end == null && !events.isEmpty() && events.peek().at().before(until)) {
+            Event next = events.poll();
+            now = next.at();
+            next.what().run();
+        }
+        end = null;
+        tries.clear();
+        became.clear();
+    }
+
     private void later(Span span, Runnable what) {
         events.add(new Event(now.plus(span), orders++, what));
     }
@@ -102,7 +122,8 @@
     }
 
     private boolean away(int exchange) {
-        return desks.get(exchange) == Condition.State.GONE || severed(origin.number(), exchange);
+        return desks.get(exchange) == Condition.State.GONE || desks.get(exchange) == Condition.State.SILENT
+                || severed(origin.number(), exchange);
     }
 
     private boolean severed(int a, int b) {
--- a/src/main/java/martenslip/provision/Prefixes.java
+++ b/src/main/java/martenslip/provision/Prefixes.java
@@ -1,6 +1,7 @@
 package martenslip.provision;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -28,6 +29,14 @@
         return new TreeSet<>(exchanges.values());
     }
 
+    /** Prefixes that change nothing, as a shorter one leads to the same exchange. */
+    public List<String> redundant() {
+        return exchanges.keySet().stream().filter(digits -> {
+            int shorter = exchange(digits.substring(0, digits.length() - 1));
+            return shorter >= 0 && shorter == exchanges.get(digits);
+        }).sorted().toList();
+    }
+
     /** The exchange where the number ends, or -1. */
     public int exchange(String number) {
         for (int length = Math.min(longest, number.length()); length > 0; length--) {
--- a/src/test/java/martenslip/expect/ExpectTest.java
+++ b/src/test/java/martenslip/expect/ExpectTest.java
@@ -78,6 +78,7 @@
             {"status to d1 is deferred while group g-0-1 is full and group g-0-2 is full and group g-0-3 is full"},
             {"slot to d1 goes via d2 or d3 while group g-0-1 has 3 free"},
             {"status to d1 goes direct while group g-0-1 has 20 free"},
+            {"status to d1 never stands while d1 is silent and d2 is cold"},
             {"anything to d1 goes direct while region south is cut off and d2 is cold"}};
     }
 
@@ -118,6 +119,18 @@
                 List.of("slot to d2 goes direct"));
     }
 
+    @Test
+    public void whatIsWeakIsFoundWithoutAnExpectation() throws Exception {
+        Map<Integer, Site> sites = world(Map.of(3, 30));
+        sites.remove(1);
+        sites.remove(2);
+        ExpectFile.Read read = ExpectFile.read("test.expect", DESKS, sites.get(0));
+        List<String> found = new Check(sites, 0, read, Logic::new).findings();
+        assertTrue(found.contains("d1 is reached by one tandem alone, d3"), found.toString());
+        assertTrue(found.stream().anyMatch(one -> one.startsWith("nothing reaches d4")), found.toString());
+        assertEquals(found.size(), 3, found.toString());
+    }
+
     @DataProvider
     public Object[][] malformed() {
         return new Object[][] {{"status to d9x goes direct", "line 6, column 11: no desk or set is called d9x"},
