--- a/src/main/java/martenslip/cli/ExpectCommand.java
+++ b/src/main/java/martenslip/cli/ExpectCommand.java
@@ -77,6 +77,14 @@
         }
     }
 
+    /** True where all lines of the file hold for the exchange; what doesn't is printed. */
+    static boolean holds(Path lines, Site site) throws IOException, Rejected {
+        ExpectCommand command = new ExpectCommand();
+        command.file = lines;
+        ExpectFile.Read read = ExpectFile.read(lines.toString(), Files.readString(lines), site);
+        return command.check(read, new Check(Map.of(site.number(), site), site.number(), read, Logic::new), null) == 0;
+    }
+
     private List<Path> folder() throws IOException {
         if (others == null) {
             return List.of();
--- a/src/main/java/martenslip/cli/RunCommand.java
+++ b/src/main/java/martenslip/cli/RunCommand.java
@@ -29,6 +29,9 @@
     @Option(names = "--figures", description = "Print the counts every so many seconds.", paramLabel = "SECONDS")
     private int every;
 
+    @Option(names = "--expect", paramLabel = "FILE", description = "Start only where these expectations hold.")
+    private Path expectations;
+
     @Option(names = "--planted", hidden = true, description = "Reads stalls to plant from standard input, for plays.")
     private boolean planted;
 
@@ -37,6 +40,10 @@
         Site site;
         try {
             site = SiteFile.read(file);
+            if (expectations != null && !ExpectCommand.holds(expectations, site)) {
+                System.err.println("martenslip: not started, as " + expectations + " does not hold for " + file);
+                return 1;
+            }
         } catch (Rejected e) {
             System.err.println(e.getMessage());
             return 1;
--- a/src/main/java/martenslip/expect/Trial.java
+++ b/src/main/java/martenslip/expect/Trial.java
@@ -39,6 +39,7 @@
     private static final Span SET_UP = Span.ofMillis(5);
     private static final Moment START = new Moment(Span.ofMillis(1_000_000).ns());
     /** Past each rule's span, so a state is settled when the contact comes. */
+    private static final String LAST_DIGITS = "00000";
     private static final Span SETTLED = Span.ofMillis(60_000);
 
     private record Event(Moment at, long order, Runnable what) { }
@@ -203,9 +204,10 @@
         void take(int destination, int skill, int from, Span patience, Back back) {
             long id = ++ids;
             Skill is = site.skills().get(skill);
-            String digits = site.numbering().leadingTo(destination);
-            Contact contact = new Contact(id, skill, Long.parseLong(digits.replace("+", "")), destination, from,
-                    is.width(), patience, false, from >= 0, false);
+            // A number of the desk, led as a caller's is: a longer prefix may lead it elsewhere.
+            String number = site.numbering().leadingTo(destination) + LAST_DIGITS;
+            Contact contact = new Contact(id, skill, Long.parseLong(number.replace("+", "")),
+                    site.numbering().exchange(number), from, is.width(), patience, false, from >= 0, false);
             contacts.put(id, contact);
             callers.put(id, back);
             // A drain is demanded of once its grace is over.
