--- a/src/main/java/martenslip/expect/Check.java
+++ b/src/main/java/martenslip/expect/Check.java
@@ -202,6 +202,8 @@
         }
         origin.numbering().redundant().forEach(digits ->
                 found.add("prefix " + digits + " changes nothing: a shorter one leads to the same exchange"));
+        origin.numbering().shadowed().forEach(digits ->
+                found.add("prefix " + digits + " is never met: longer ones take each digit that may follow"));
         return found;
     }
 
--- a/src/main/java/martenslip/expect/Contradictions.java
+++ b/src/main/java/martenslip/expect/Contradictions.java
@@ -33,9 +33,42 @@
                 }
             }
         }
+        if (pairs.isEmpty()) {
+            parts(all, pairs);
+        }
         return pairs;
     }
 
+    /** Parts of the same contacts in the same state that go apart from each other and add up past all of them. */
+    private static void parts(List<Expectation> all, List<Pair> pairs) {
+        for (int i = 0; i < all.size(); i++) {
+            Expectation first = all.get(i);
+            List<Route> taken = new ArrayList<>();
+            int sum = 0;
+            for (int j = i; j < all.size() && sum <= 100; j++) {
+                Expectation one = all.get(j);
+                if (one.often() == Often.AT_LEAST && one.outcome() instanceof Outcome.Goes goes && alike(first, one)
+                        && taken.stream().allMatch(route -> apart(route, goes.routes().get(0)))) {
+                    taken.add(goes.routes().get(0));
+                    sum += one.percent();
+                    if (sum > 100) {
+                        pairs.add(new Pair(first, one, "the parts of " + taken.size() + " lines add up to " + sum + "%",
+                                first.conditions()));
+                    }
+                }
+            }
+        }
+    }
+
+    private static boolean alike(Expectation a, Expectation b) {
+        return a.skill() == b.skill() && a.from().equals(b.from()) && a.to().equals(b.to())
+                && Set.copyOf(a.conditions()).equals(Set.copyOf(b.conditions()));
+    }
+
+    private static boolean apart(Route a, Route b) {
+        return a.via().isEmpty() != b.via().isEmpty() || !a.via().isEmpty() && a.via().stream().noneMatch(b.via()::contains);
+    }
+
     /** True where some contact is spoken of by both. */
     private static boolean meet(Expectation a, Expectation b) {
         boolean skill = a.skill() < 0 || b.skill() < 0 || a.skill() == b.skill();
@@ -105,9 +138,7 @@
                     : !wanted.via().isEmpty() && never.via().containsAll(wanted.via());
             return within ? "one says never" : null;
         }
-        boolean apart = one.via().isEmpty() != other.via().isEmpty()
-                || !one.via().isEmpty() && one.via().stream().noneMatch(other.via()::contains);
-        return apart && shares(a) + shares(b) > 100 && !Objects.equals(one, other)
+        return apart(one, other) && shares(a) + shares(b) > 100 && !Objects.equals(one, other)
                 ? "the first ring can't go both ways" + (shares(a) + shares(b) < 200 ? " that often" : "") : null;
     }
 }
--- a/src/test/java/martenslip/expect/ExpectTest.java
+++ b/src/test/java/martenslip/expect/ExpectTest.java
@@ -166,6 +166,10 @@
             {"status to d1 stands\nanything to d1 is deferred", true},
             {"status to d1 at least 60% goes via d2\nstatus to d1 at least 50% goes via d3", true},
             {"status to d1 at least 50% goes via d2\nstatus to d1 at least 50% goes via d3", false},
+            {"status to d4 at least 40% goes via d1\nstatus to d4 at least 40% goes via d2\n"
+                + "status to d4 at least 40% goes via d3", true},
+            {"status to d4 at least 40% goes via d1\nstatus to d4 at least 40% goes via d2\n"
+                + "status to d4 at least 40% goes via d2 or d3", false},
             {"status to d4 goes via d1 or d2\nnothing goes via d1", false},
             {"status to d4 goes via d1\nnothing goes via d1", true},
             {"status to d1 goes direct\nstatus to d1 goes via d2 while group g-0-1 is full", false},
