--- a/src/main/java/martenslip/exchange/Contacts.java
+++ b/src/main/java/martenslip/exchange/Contacts.java
@@ -17,7 +17,6 @@
 import martenslip.sip.dialog.CallOut;
 import martenslip.sip.dialog.Calls;
 import martenslip.sip.dialog.Ending;
-import martenslip.sip.message.BadValue;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
 import martenslip.sip.transaction.Failure;
@@ -132,7 +131,7 @@
         reports.gone(taken.contact.id());
     }
 
-    private void keep(Taken taken) {
+    void keep(Taken taken) {
         // A thread that was replaced has nothing more to leave to anybody.
         if (!fenced.getAsBoolean()) {
             estate.put(taken.will());
@@ -180,7 +179,8 @@
         ring.call = calls.call(invite, send.to().hop(), new Answers(taken, ring));
     }
 
-    private void watch(Taken taken, Ring ring) {
+    /** Sets the timers of a ring that is out. */
+    void watch(Taken taken, Ring ring) {
         ring.limit = calls.wheel().at(ring.until, () -> gaveUp(taken, ring));
         ring.silence = calls.wheel().at(ring.at.plus(site.limits().silence()), () -> silent(taken, ring));
     }
@@ -425,83 +425,25 @@
         }
     }
 
-    /** Goes on with what the thread before this one held, and tells the decider of it. Before any other work. */
-    void inherit() {
-        for (Will will : estate.wills()) {
-            try {
-                inherit(will);
-            } catch (BadValue e) {
-                log.warn(now(), "will-not-read", "contact", will.contact().id(), "why", e.getMessage());
-            }
-        }
-        tellHeld();
-    }
-
     /** Tells the decider of all that is open here. */
     void tellHeld() {
         List<Roll.Held> held = open.values().stream().map(taken -> taken.will().held()).toList();
         reports.inherited(lane, held);
     }
 
-    private void inherit(Will will) throws BadValue {
-        boolean stood = will.answer() != null && will.answer().success();
-        boolean quiet = stood && (will.confirmed() || will.bye() == Will.Bye.RING);
-        CallIn caller = calls.takeOver(will.invite(), will.from(), will.tag(), quiet);
-        if (caller == null) {
-            return;
-        }
-        Taken taken = new Taken(will.contact(), caller, will.number(), will.at());
-        taken.rings = will.rings();
-        taken.heldUntil = will.heldUntil();
-        taken.last = will.last();
-        taken.answered = will.answered();
-        taken.answer = will.answer();
-        taken.sent = will.sent();
-        taken.confirmed = will.confirmed();
-        taken.bye = will.bye();
-        caller.listen(new Caller(taken));
-        Ring ring = will.out() == null ? null : ring(taken, will.out());
-        if (!will.answered() || ring != null && !ring.told) {
+    /** A contact of the thread before this one, with its legs as far as they are there again. */
+    void takenOver(Taken taken) {
+        unanswered += taken.answered ? 0 : 1;
+        if (!taken.answered || taken.live() != null) {
             enter(taken);
         }
-        unanswered += will.answered() ? 0 : 1;
-        if (will.answered() && will.answer() != null) {
-            again(taken, stood, quiet);
-        }
-        if (will.bye() == Will.Bye.CALLER) {
-            caller.bye(null);
-        }
     }
 
-    private void again(Taken taken, boolean stood, boolean quiet) {
-        Response answer = taken.answer.copy();
-        if (stood && !quiet) {
-            taken.caller.accept(answer);
-        } else if (!stood && taken.sent) {
-            taken.caller.refusedAlready(answer);
-        } else if (!stood) {
-            taken.caller.refuse(answer);
-            taken.sent = true;
-            keep(taken);
-        }
+    CallIn.Listener callerOf(Taken taken) {
+        return new Caller(taken);
     }
 
-    private Ring ring(Taken taken, Will.Out out) throws BadValue {
-        Ring ring = new Ring(out.number(), out.target(), out.far(), out.at(), out.until());
-        ring.invite = out.invite();
-        ring.hop = out.hop();
-        ring.okay = out.stood();
-        ring.stood = out.stood() != null;
-        taken.ring = ring;
-        ring.call = calls.takeOver(out.invite().copy(), out.hop(), out.stood(), new Answers(taken, ring));
-        if (taken.bye == Will.Bye.RING) {
-            ring.told = true;
-            ring.call.bye(null);
-        } else if (taken.bye == Will.Bye.CALLER) {
-            ring.told = true;
-        } else if (!ring.stood) {
-            watch(taken, ring);
-        }
-        return ring;
+    CallOut.Listener answersTo(Taken taken, Ring ring) {
+        return new Answers(taken, ring);
     }
 }
--- a/src/main/java/martenslip/exchange/Crew.java
+++ b/src/main/java/martenslip/exchange/Crew.java
@@ -277,7 +277,7 @@
             if (closing) {
                 next.contacts.close();
             }
-            next.contacts.inherit();
+            new Inheritance(next.contacts, next.calls(), estates[number], common.log()).takeOver();
             if (number == 0 && !inline) {
                 next.surroundings.watchList(true);
             }
