Reports: a first allowed of 0 is a jam; no numbers and absurd ones are not learned

A first `allowed` of 0 gave 0/0: the part to keep back was not a number, every comparison with it false, and a processor that takes nothing looked free to an exchange that had just started. One NaN or 3e38 stayed in the learned usual rate for good. A group of size 0 that said 5 free was rung; free above size was believed. Ruled out: the SIP side (Digits reads at most nine digits, and oc=0 passes it); the fade of old reports, which kept the NaN alive, as it multiplies it. At fault: Logic.Switch.reported, the lines that read report[0], report[1] and "allowed". Change: circuits are clamped to 0..size and only taken where both are numbers; a figure over a million or none was not told; without a usual rate an allowed of 0 keeps everything back.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -26,6 +26,8 @@
     static final double COLD_WORK = 1.25;
     // The work of a message that waits at a processor, in set-ups: most are looks, answers and repeats.
     static final double MESSAGE = 0.4;
+    // More set-ups, messages or milliseconds than any processor has: such a figure is a fault of its report.
+    static final double MOST_TOLD = 1e6;
     // Rings out that one switch may count for; how much readier a late contact is kept back; the gap
     // between trials of a silent switch, in turns; exchanges whose trials together are no load on one.
     static final int MOST_OUT = 3, LATE_BACK = 3, TRIAL_GAP = 4;
@@ -242,16 +244,17 @@
         }
 
         void reported(float[] report) {
-            if (report.length >= 2) {
-                free = Math.round(report[0]);
-                size = Math.round(report[1]);
+            if (report.length >= 2 && Float.isFinite(report[0]) && Float.isFinite(report[1])) {
+                size = Math.max(0, Math.round(report[1]));
+                free = Math.max(0, Math.min(size, Math.round(report[0])));
                 legs.remove(id);
                 if (size > 0) {
                     legs.put(id, this);
                 }
             }
             for (int i = 2; i < report.length && i < fields.size(); i++) {
-                double value = report[i];
+                // What is no number, or more than any processor does, was not told: it would be learned for good.
+                double value = report[i] <= MOST_TOLD ? report[i] : -1;
                 toldAt = value < 0 ? toldAt : now;
                 switch (value < 0 ? "" : fields.get(i)) {
                     case "cut_by" -> cutBy = value;
@@ -259,8 +262,9 @@
                     case "mean_ms" -> wait = Span.ofMillis(value);
                     case "allowed" -> {
                         usual += (value - usual) * (value > usual ? 0.2 : 0.002);
-                        cutBy = Math.max(0, 1 - value / usual / FULL_WORK);
-                        wait = Span.ofMillis(1000 * MESSAGE * depth / Math.max(value, usual / 100));
+                        // One that takes nothing at the first word is jammed, not free.
+                        cutBy = usual == 0 ? 1 : Math.max(0, 1 - value / usual / FULL_WORK);
+                        wait = Span.ofMillis(1000 * MESSAGE * depth / Math.max(0.01, Math.max(value, usual / 100)));
                     }
                 }
             }
--- /dev/null
+++ b/src/test/java/martenslip/BadInputTest.java
@@ -0,0 +1,73 @@
+package martenslip;
+
+import static martenslip.Exchange.CHEAP;
+import static martenslip.Exchange.URGENT;
+import static martenslip.Exchange.at;
+import static martenslip.Exchange.contact;
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What is out of range or no number never costs a contact its answer and never throws out of the module. */
+public class BadInputTest {
+    private static final float NAN = Float.NaN;
+    private static final float MOST = Float.POSITIVE_INFINITY;
+
+    private static Exchange exchange() {
+        Exchange exchange = new Exchange();
+        exchange.settings.put("report.fields", "spare,total,allowed,depth");
+        return exchange.ready(20, 40);
+    }
+
+    private static Exchange told(Moment when, float... report) {
+        Exchange exchange = exchange();
+        exchange.logic.reported(when, 101, true, Span.ZERO, report);
+        return exchange;
+    }
+
+    private static void offer(Exchange exchange, long id, int skill, double at) {
+        exchange.logic.offered(at(at), contact(id, skill, 3));
+    }
+
+    @Test
+    public void aProcessorThatTakesNothingIsJammedFromTheFirstWordOn() {
+        Exchange exchange = told(at(1), 20, 40, 0, 300);
+        offer(exchange, 1, CHEAP, 1.01);
+        assertEquals(exchange.orders(), List.of("defer 1"));
+        offer(exchange, 2, URGENT, 1.01);
+        assertEquals(exchange.orders(), List.of());
+    }
+
+    @DataProvider
+    public Object[][] reports() {
+        return new Object[][] {{new float[] {20, 40, NAN, NAN}}, {new float[] {20, 40, MOST, MOST}},
+            {new float[] {20, 40, -MOST, -MOST}}, {new float[] {20, 40, 1e-45f, 3e38f}}, {new float[] {20, 40, 3e38f}},
+            {new float[] {}}, {new float[] {20}}, {new float[] {20, 40}}, {new float[] {NAN, NAN, NAN, NAN}},
+            {new float[] {-5, 40, -1, -1}}, {new float[] {20, -1, -1, -1}}, {new float[] {MOST, MOST, 1, 1}},
+            {new float[] {20, 40, 1, 1, 1, 1, 1, 1}}};
+    }
+
+    @Test(dataProvider = "reports")
+    public void aReportOfNoNumberIsForgottenWithTheNextGoodOne(float[] bad) {
+        Exchange exchange = told(at(1), bad);
+        for (int i = 0; i < 40; i++) {
+            exchange.logic.reported(at(20 + i * 0.1), 101, true, Span.ZERO, new float[] {20, 40, 50, 1});
+        }
+        offer(exchange, 1, CHEAP, 24);
+        assertEquals(exchange.orders(), List.of("ring 1 101"));
+    }
+
+    @Test
+    public void aGroupOfNoCircuitsTakesNobodyWhateverItSaysIsFree() {
+        Exchange exchange = told(at(1), 5, 0, -1, -1);
+        assertEquals(exchange.logic.at(101).free, 0);
+        exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {90, 40, -1, -1});
+        assertEquals(exchange.logic.at(101).free, 40);
+        exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {-3, 40, -1, -1});
+        assertEquals(exchange.logic.at(101).free, 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/martenslip/EveryOrderTest.java
@@ -0,0 +1,212 @@
+package martenslip;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import martenslip.TinyWorld.Event;
+import martenslip.TinyWorld.Plan;
+import martenslip.control.Cause;
+import martenslip.control.Controller;
+import martenslip.control.Controller.ListKind;
+import martenslip.control.Orders;
+import martenslip.control.RingEnd;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * The very module, through every order of a few events: depth first, each sequence played from the start. After so
+ * many choices the rest is played in one order until nothing is left to come. Every event is judged by the rules.
+ */
+public class EveryOrderTest {
+    private static final int MOST_TAIL = 400;
+
+    /** How many sequences a world has and the first fault met, or null. */
+    private record Found(long sequences, String fault) { }
+
+    private static final class Search {
+        private final Plan plan;
+        private final int depth;
+        private final UnaryOperator<Orders> orders;
+        private final Function<Controller, Controller> module;
+        private long sequences;
+        private String fault;
+
+        Search(Plan plan, int depth, UnaryOperator<Orders> orders, Function<Controller, Controller> module) {
+            this.plan = plan;
+            this.depth = depth;
+            this.orders = orders;
+            this.module = module;
+        }
+
+        Found run() {
+            from(new int[0]);
+            return new Found(sequences, fault);
+        }
+
+        private void from(int[] picks) {
+            TinyWorld world = new TinyWorld(plan, orders, module);
+            List<String> names = new ArrayList<>();
+            for (int pick : picks) {
+                step(world, pick, names);
+            }
+            int choices = world.enabled().size();
+            if (picks.length == depth || choices == 0) {
+                sequences++;
+                for (int i = 0; i < MOST_TAIL && !world.enabled().isEmpty(); i++) {
+                    step(world, 0, names);
+                }
+                world.quiet();
+                check(world, names);
+                return;
+            }
+            check(world, names);
+            int[] next = java.util.Arrays.copyOf(picks, picks.length + 1);
+            for (int pick = 0; pick < choices && fault == null; pick++) {
+                next[picks.length] = pick;
+                from(next);
+            }
+        }
+
+        private static void step(TinyWorld world, int pick, List<String> names) {
+            Event event = world.enabled().get(pick);
+            names.add(event.name());
+            event.what().run();
+        }
+
+        private void check(TinyWorld world, List<String> names) {
+            if (fault == null && !world.rules.broken().isEmpty()) {
+                fault = world.rules.broken() + " after " + names;
+            }
+        }
+    }
+
+    private static Found search(Plan plan, int depth) {
+        return new Search(plan, depth, orders -> orders, module -> module).run();
+    }
+
+    private static Plan plan(int direct, int around, int offers, int troubles, boolean late, String... faults) {
+        return new Plan(direct, around, offers, troubles, late, List.of(faults));
+    }
+
+    /** Name, world, choices, and how many sequences that makes: another figure says that the search has changed. */
+    @DataProvider
+    public Object[][] worlds() {
+        return new Object[][] {
+            {"one group", plan(2, 0, 2, 2, false), 7, 17659L},
+            {"one circuit, clocks late", plan(1, 0, 2, 1, true), 9, 9759L},
+            {"over the tandem", plan(1, 1, 2, 1, false), 7, 18154L},
+            {"over the tandem only, clocks late", plan(0, 1, 2, 1, true), 9, 14526L},
+            {"a drain and back", plan(2, 1, 2, 1, false, "drains", "ready"), 6, 16872L},
+            {"the tandem drains", plan(1, 1, 2, 0, false, "tandem drains"), 8, 20992L},
+            {"gone, clocks late", plan(1, 1, 2, 1, true, "gone"), 7, 35027L},
+            {"replaced", plan(2, 1, 2, 1, false, "replaced"), 7, 23588L},
+            {"a restart with the kept list", plan(1, 1, 3, 0, false, "restart"), 8, 36624L},
+            {"a restart amid a drain", plan(1, 1, 2, 0, true, "restart", "drains"), 7, 9959L},
+            {"cold", plan(8, 1, 5, 0, false, "cold"), 7, 18435L},
+            {"cold after a restart", plan(8, 1, 4, 0, false, "cold", "restart"), 7, 29211L},
+            {"jammed at the first word", plan(1, 1, 2, 1, false, "jammed"), 7, 40253L},
+            {"reports of no number", plan(2, 1, 2, 1, false, "unknown"), 7, 30948L},
+            {"circuits lost", plan(2, 1, 2, 1, false, "circuits lost"), 7, 30819L},
+        };
+    }
+
+    @Test(dataProvider = "worlds")
+    public void rulesHoldInEveryOrder(String name, Plan plan, int depth, long sequences) {
+        assertEquals(search(plan, depth), new Found(sequences, null), name);
+    }
+
+    /** Hands each call on as {@code change} says: it may alter the arguments, or give null to drop the call. */
+    @SuppressWarnings("unchecked")
+    private static <T> T spoilt(Class<T> type, T real, Change change) {
+        return (T) Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, (proxy, method, values) -> {
+            Object[] changed = change.of(method.getName(), values, () -> method.invoke(real, values));
+            try {
+                return changed == null ? null : method.invoke(real, changed);
+            } catch (InvocationTargetException e) {
+                throw e.getCause();
+            }
+        });
+    }
+
+    private interface Change {
+        Object[] of(String name, Object[] values, Again again) throws Exception;
+    }
+
+    private interface Again {
+        void call() throws Exception;
+    }
+
+    private static Found withOrders(Plan plan, Change change) {
+        return new Search(plan, 6, orders -> spoilt(Orders.class, orders, change), module -> module).run();
+    }
+
+    private static Found withModule(Plan plan, Change change) {
+        return new Search(plan, 6, orders -> orders, module -> spoilt(Controller.class, module, change)).run();
+    }
+
+    private static void caught(Found found, String rule) {
+        assertTrue(found.fault != null && found.fault.startsWith("[" + rule + ": "), "" + found);
+    }
+
+    @Test
+    public void aDoubledAnswerIsCaught() {
+        caught(withOrders(plan(0, 0, 2, 0, false), (name, values, again) -> {
+            if (name.equals("defer")) {
+                again.call();
+            }
+            return values;
+        }), "1");
+    }
+
+    @Test
+    public void aLostAnswerIsCaught() {
+        caught(withOrders(plan(0, 0, 2, 0, false), (name, values, again) ->
+                name.equals("defer") || name.equals("abandon") ? null : values), "1");
+    }
+
+    @Test
+    public void aSecondRingIsCaught() {
+        caught(withOrders(plan(2, 0, 2, 0, false), (name, values, again) -> {
+            if (name.equals("ring")) {
+                again.call();
+            }
+            return values;
+        }), "2");
+    }
+
+    @Test
+    public void aDrainThatIsNotHeardIsCaught() {
+        caught(withModule(plan(2, 0, 2, 0, false, "drains"), (name, values, again) ->
+                name.equals("listed") && values[1] == ListKind.CHANGES ? null : values), "3");
+    }
+
+    @Test
+    public void aColdStartThatIsNotHeardIsCaught() {
+        caught(withModule(plan(8, 0, 6, 0, false, "cold"), (name, values, again) ->
+                name.equals("listed") && values[1] == ListKind.CHANGES ? null : values), "4");
+    }
+
+    @Test
+    public void aReleaseThatIsForgottenIsCaught() {
+        caught(withModule(plan(2, 0, 2, 2, false), (name, values, again) -> {
+            if (name.equals("ringEnded")) {
+                RingEnd end = (RingEnd) values[1];
+                values[1] = new RingEnd(end.contact(), end.ring(), end.target(), Cause.UNREACHABLE, end.blame(),
+                        end.took(), end.stayAway(), end.answered(), end.report());
+            }
+            return values;
+        }), "5");
+    }
+
+    @Test
+    public void aCircuitThatIsNeverGivenBackIsCaught() {
+        caught(withModule(plan(2, 0, 2, 0, false), (name, values, again) ->
+                name.equals("ringEnded") ? null : values), "quiet");
+    }
+}
