Module: a fault costs its one piece of news; own numbers and unknown skills are answered

A contact for the exchange's own number was rung over a tandem, which could only send it back. Ruled out: a further retry by the lane, which hands a contact to the module once; the Happenings queue, which goes on with the next one after a throw. At fault: Logic.Actor.empty (the poll came after the note and not in a finally); Front.offered (the skill's index; the clock of the end was set last); Front.seek (no look at the own number). Change: a note that throws is logged as "fault: ..." and polled; the end's clock is the first thing a contact gets; a skill out of range counts as the cheapest; an own number is deferred. SIP refuses own numbers with 404 or 482 before.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -175,8 +175,14 @@
         @SuppressWarnings("unchecked")
         final void empty() {
             while (!inbox.isEmpty()) {
-                inbox.peek().to((A) this);
-                inbox.poll();
+                try {
+                    inbox.peek().to((A) this);
+                } catch (RuntimeException e) {
+                    // It costs this piece of news: left in the inbox, it would keep all later ones from being read.
+                    orders.log("fault: " + e + " at " + e.getStackTrace()[0]);
+                } finally {
+                    inbox.poll();
+                }
             }
         }
     }
@@ -577,12 +583,15 @@
         void offered(Contact contact) {
             // Two rounds early: a clock is heard up to a round late, and a late answer counts as none.
             Moment end = now.plus(contact.patience()).plus(round.times(-2));
-            Skill skill = skills[Math.min(contact.skill(), skills.length - 1)];
+            boolean known = contact.skill() >= 0 && contact.skill() < skills.length;
+            Skill skill = skills[known ? contact.skill() : cheapest];
             firstTries.values().removeIf(first -> now.since(first).longerThan(patienceMost));
             Moment first = contact.dialled() == 0 || contact.inTransit() ? now
                     : firstTries.computeIfAbsent(contact.dialled(), any -> now);
             Open one = new Open(contact, skill, end, skill.rank == 0 ? now : first, first);
             open.put(contact.id(), one);
+            // First of all, so that it ends whatever becomes of the rest.
+            clock(one, end);
             if (!now.before(end)) {
                 defer(one);
                 return;
@@ -592,7 +601,6 @@
                 startedAt = null;
                 tellGroups();
             }
-            clock(one, end);
             clock(one, one.worthUntil);
             boolean due = now.since(probedAt).longerThan(urgentOne.target.times(0.4));
             if (due && home() != null && may("probes")) {
@@ -604,7 +612,8 @@
 
         void seek(Open one) {
             one.destination = byNumber(one.contact.destination());
-            if (one.destination == null || one.rings >= number("policy-limits.send-cap", 1)) {
+            // A number of the own exchange is no matter of trunks: over a tandem it would come back here.
+            if (one.destination == null || one.destination == home() || one.rings >= number("policy-limits.send-cap", 1)) {
                 defer(one);
                 return;
             }
--- a/src/test/java/martenslip/BadInputTest.java
+++ b/src/test/java/martenslip/BadInputTest.java
@@ -5,8 +5,10 @@
 import static martenslip.Exchange.at;
 import static martenslip.Exchange.contact;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import martenslip.control.Contact;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import org.testng.annotations.DataProvider;
@@ -70,4 +72,32 @@
         exchange.logic.reported(at(1), 101, true, Span.ZERO, new float[] {-3, 40, -1, -1});
         assertEquals(exchange.logic.at(101).free, 0);
     }
+
+    @DataProvider
+    public Object[][] contacts() {
+        return new Object[][] {{-1, 1, 1, 3000.0}, {99, 1, 1, 3000.0}, {0, -4, 1, 3000.0}, {0, 1 << 30, 1, 3000.0},
+            {0, Integer.MAX_VALUE, 1, 3000.0}, {0, 1, 0, 3000.0}, {1, 1, 0, 3000.0}, {0, 1, -7, 3000.0},
+            {0, 1, 77, 3000.0}, {0, 1, 1, -5.0}, {0, 1, 1, 0.0},
+            {0, 1, 1, 9e15}};
+    }
+
+    @Test(dataProvider = "contacts")
+    public void anOddContactGetsOneAnswerOrOneRing(int skill, int width, int destination, double patience) {
+        Exchange exchange = exchange();
+        exchange.logic.offered(at(1), new Contact(1, skill, 7, destination, -1, width, Span.ofMillis(patience), false,
+                false, false));
+        exchange.logic.clockRung(at(1.6), 2);
+        List<String> orders = exchange.orders();
+        assertTrue(orders.equals(List.of("defer 1")) || orders.equals(List.of("ring 1 101")), "" + orders);
+    }
+
+    @Test
+    public void aFaultInOnePieceOfNewsCostsThatPieceOnly() {
+        Exchange exchange = exchange();
+        exchange.logic.offered(at(1), null);
+        offer(exchange, 1, CHEAP, 2);
+        List<String> orders = exchange.orders();
+        assertTrue(orders.contains("ring 1 101"), "" + orders);
+        assertTrue(orders.get(0).startsWith("log fault"), "" + orders);
+    }
 }
