Module: replaced machines and notes of unknown numbers are forgotten

Every machine that ever bore a number was kept, with its group, and counted into the turn of the fleet: after 500 replacements at four exchanges trials of a silent switch were spaced 84 times too far, and old reports faded 84 times too slowly. A note of any number left a weight for each destination (65,535 numbers: as many weights a switch), and one number under 0 in the list made every note throw. Ruled out: a bound in the program round the module; the list replaces machines by design, so their count has none. At fault: Logic.listed (switches only ever grew, only -1 was taken out), turn (switches.size()), Front.heard. Change: a machine that is gone, whose number another bears and that holds nothing is forgotten, with its group; the turn counts numbers; notes of numbers that no exchange bears are dropped, the sender's number is read unsigned.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -569,9 +569,10 @@
         }
 
         void heard(byte[] note) {
-            if (note.length >= 2) {
+            int tandem = note.length < 2 ? -1 : Short.toUnsignedInt(ByteBuffer.wrap(note).getShort());
+            // One of no exchange that is listed would only be kept, and for good.
+            if (numbers.containsKey(tandem)) {
                 BitSet groups = BitSet.valueOf(Arrays.copyOfRange(note, 2, note.length));
-                int tandem = ByteBuffer.wrap(note).getShort();
                 numbers.forEach((number, to) -> to.put(new Linked(tandem, groups.get(number))));
             }
         }
@@ -790,7 +791,7 @@
 
     /** How long one sender leaves a doubtful switch alone, so that the trials of all are not a load on it. */
     Span turn() {
-        return urgentOne.target.times(Math.max(1, switches.size() / FEW));
+        return urgentOne.target.times(Math.max(1, numbers.size() / FEW));
     }
 
     static Moment first(Moment a, Moment b) { return a.before(b) ? a : b; }
@@ -799,6 +800,8 @@
         return Math.max(0, Math.min(1, (value - from) / (to - from)));
     }
 
+    int known() { return switches.size(); }
+
     Switch home() { return byNumber(homeNumber); }
 
     Switch byNumber(int number) { return numbers.get(number); }
@@ -822,7 +825,11 @@
         numbers.clear();
         switches.values().forEach(one -> numbers.merge(one.number, one,
                 (a, b) -> a.state == SwitchLine.State.READY || b.state != SwitchLine.State.READY ? a : b));
-        numbers.remove(-1);
+        numbers.keySet().removeIf(number -> number < 0);
+        // A machine that was replaced, and holds nothing any more, would else be kept and counted for good.
+        switches.values().removeIf(one -> one.state == SwitchLine.State.GONE && numbers.get(one.number) != one
+                && one.rings.isEmpty() && one.standing.isEmpty() && one.waiting.isEmpty());
+        legs.keySet().retainAll(switches.keySet());
     }
 
     private <A extends Actor<A>> void tell(Moment at, A actor, Note<A> note) {
--- a/src/test/java/martenslip/BadInputTest.java
+++ b/src/test/java/martenslip/BadInputTest.java
@@ -9,8 +9,11 @@
 
 import java.util.List;
 import martenslip.control.Contact;
+import martenslip.control.Controller.ListKind;
 import martenslip.control.Moment;
 import martenslip.control.Span;
+import martenslip.control.SwitchLine;
+import martenslip.control.SwitchLine.State;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -91,6 +94,24 @@
         assertTrue(orders.equals(List.of("defer 1")) || orders.equals(List.of("ring 1 101")), "" + orders);
     }
 
+    @Test
+    public void noNoteOfAPeerThrowsOrLeavesMoreThanItsNumbers() {
+        Exchange exchange = exchange();
+        exchange.settings.put("policy-limits.peers", "true");
+        exchange.logic.listed(at(1), ListKind.CHANGES, List.of(new SwitchLine(900, -2, State.READY, null, 0)));
+        for (int length = 0; length < 300; length++) {
+            byte[] note = new byte[length];
+            java.util.Arrays.fill(note, (byte) (length % 2 == 0 ? 0xff : length));
+            exchange.logic.peerNote(at(1), -1, note);
+        }
+        for (int number = 0; number < 0xffff; number++) {
+            exchange.logic.peerNote(at(1), 5, new byte[] {(byte) (number >> 8), (byte) number, 2});
+        }
+        assertTrue(exchange.logic.at(101).weights.size() <= 4, "" + exchange.logic.at(101).weights.size());
+        offer(exchange, 1, CHEAP, 2);
+        assertTrue(exchange.orders().contains("ring 1 101"));
+    }
+
     @Test
     public void aFaultInOnePieceOfNewsCostsThatPieceOnly() {
         Exchange exchange = exchange();
@@ -100,4 +121,19 @@
         assertTrue(orders.contains("ring 1 101"), "" + orders);
         assertTrue(orders.get(0).startsWith("log fault"), "" + orders);
     }
+
+    @Test
+    public void machinesThatWereReplacedAreForgotten() {
+        Exchange exchange = exchange();
+        for (int life = 1; life <= 500; life++) {
+            SwitchLine old = new SwitchLine(life == 1 ? 101 : 1000 + life, 1, State.GONE, null, 0);
+            exchange.logic.listed(at(life), ListKind.CHANGES,
+                    List.of(old, new SwitchLine(1001 + life, 1, State.READY, null, 0)));
+            exchange.logic.reported(at(life), 1001 + life, true, Span.ZERO, new float[] {20, 40, -1, -1});
+        }
+        assertEquals(exchange.logic.turn(), Span.ofMillis(1000));
+        offer(exchange, 1, CHEAP, 600);
+        assertEquals(exchange.orders(), List.of("ring 1 1501"));
+        assertEquals(exchange.logic.known(), 4);
+    }
 }
