--- a/src/main/java/martenslip/sip/dialog/Calls.java
+++ b/src/main/java/martenslip/sip/dialog/Calls.java
@@ -284,7 +284,13 @@
         } else {
             wheel.after(timers.trying(), () -> trying(transaction));
         }
-        user.incoming(call);
+        try {
+            user.incoming(call);
+        } catch (RuntimeException e) {
+            // Whatever it was, the caller is owed an answer, and nobody else would give it.
+            call.refuse(call.response(500, "Fault"));
+            throw e;
+        }
     }
 
 
--- a/src/test/java/martenslip/FiveRules.java
+++ b/src/test/java/martenslip/FiveRules.java
@@ -44,7 +44,7 @@
         return broken;
     }
 
-    void wrong(Object rule, String what) {
+    public void wrong(Object rule, String what) {
         broken.add(rule + ": " + what);
     }
 
--- a/src/test/java/martenslip/sip/dialog/CallsTest.java
+++ b/src/test/java/martenslip/sip/dialog/CallsTest.java
@@ -273,4 +273,21 @@
             assertEquals(pair.wire.get(0), one[1], one[0]);
         }
     }
+
+    @Test
+    public void aFaultOfTheUserCostsNobodyTheAnswer() {
+        Pair pair = new Pair(false);
+        pair.faulty = true;
+        pair.call();
+        for (int i = 0; i < 100_000 && !pair.heard.contains("refused 500"); i++) {
+            try {
+                pair.pass(1);
+            } catch (IllegalStateException e) {
+                assertEquals(e.getMessage(), "planted");
+            }
+        }
+        assertEquals(pair.heard, List.of("progress 100", "refused 500"));
+        pair.pass(70_000);
+        assertTrue(pair.empty());
+    }
 }
--- a/src/test/java/martenslip/sip/dialog/Pair.java
+++ b/src/test/java/martenslip/sip/dialog/Pair.java
@@ -34,6 +34,8 @@
     /** Says of a message, and whether it goes to the called end, that it is lost. */
     BiPredicate<Message, Boolean> loses = (message, toCalled) -> false;
     boolean copies;
+    /** The called end's user has a fault. */
+    boolean faulty;
     CallIn in;
     CallOut out;
     private double now;
@@ -82,6 +84,9 @@
         return new CallUser() {
             @Override
             public void incoming(CallIn call) {
+                if (faulty) {
+                    throw new IllegalStateException("planted");
+                }
                 in = call;
                 heard.add("incoming");
                 call.listen(new CallIn.Listener() {
