Idle: two settings, the stated wait, askList and three readers that nothing used

Looked for by name over all of the program, then by reading. Orders.askList was never called. Node.content and Node.flag had no caller.

--- a/src/main/java/martenslip/control/Orders.java
+++ b/src/main/java/martenslip/control/Orders.java
@@ -21,8 +21,6 @@
     /** A short note to a peer, or to all of them with {@link #ALL_PEERS}. */
     void note(int peer, byte[] note);
 
-    void askList();
-
     void watchList(boolean on);
 
     void log(String line);
--- a/src/main/java/martenslip/control/RingEnd.java
+++ b/src/main/java/martenslip/control/RingEnd.java
@@ -2,9 +2,8 @@
 
 /**
  * The one outcome of a ring. {@code answered} says that the contact has its final answer already;
- * {@code stayAway} is the wait that a full processor stated, or zero. {@code report} holds the
- * values in the order of the settings' report fields and may be empty.
+ * {@code report} holds the values in the order of the settings' report fields and may be empty.
  */
 public record RingEnd(long contact, int ring, long target, Cause cause, Blame blame, Span took,
-                      Span stayAway, boolean answered, float[] report) {
+                      boolean answered, float[] report) {
 }
--- a/src/main/java/martenslip/drill/Drill.java
+++ b/src/main/java/martenslip/drill/Drill.java
@@ -27,12 +27,10 @@
 public final class Drill {
     private static final class Instance {
         final Controller controller;
-        final boolean statesWait;
         boolean failed;
 
-        Instance(Controller controller, boolean statesWait) {
+        Instance(Controller controller) {
             this.controller = controller;
-            this.statesWait = statesWait;
         }
     }
 
@@ -193,10 +191,9 @@
             }
             at += line.getBytes(StandardCharsets.UTF_8).length + 1;
         }
-        boolean statesWait = "true".equals(settings.get("family-info.gives-wait"));
         try {
             Controller made = maker.make(settings, seed, now, reply.orders(id));
-            instances.put(id, new Instance(made, statesWait));
+            instances.put(id, new Instance(made));
         } catch (RuntimeException e) {
             reply.fault(id, trace(e));
         }
@@ -292,10 +289,7 @@
             case 4 -> Blame.LINES_BUSY;
             default -> Blame.NONE;
         };
-        Instance instance = instances.get(id);
-        boolean stated = instance != null && instance.statesWait && blame == Blame.PROCESSOR;
-        Span stayAway = stated ? Span.ofMillis(why >>> 4) : Span.ZERO;
-        RingEnd end = new RingEnd(contact, ring, target, cause, blame, took, stayAway, answered, report);
+        RingEnd end = new RingEnd(contact, ring, target, cause, blame, took, answered, report);
         tell(id, c -> c.ringEnded(now, end));
     }
 
--- a/src/main/java/martenslip/drill/Reply.java
+++ b/src/main/java/martenslip/drill/Reply.java
@@ -83,11 +83,6 @@
                         .putShort((short) note.length).put(note);
             }
 
-            @Override
-            public void askList() {
-                record(1110, instance, 0);
-            }
-
             @Override
             public void watchList(boolean on) {
                 record(1100, instance, 1).put((byte) (on ? 1 : 0));
--- a/src/main/java/martenslip/exchange/Decider.java
+++ b/src/main/java/martenslip/exchange/Decider.java
@@ -118,7 +118,7 @@
         float[] report = report(lessAfloat(over.load(), over.far()), group);
         Outcome outcome = over.outcome();
         RingEnd end = new RingEnd(over.contact(), over.ring(), over.target(), outcome.cause(), outcome.blame(),
-                over.took(), outcome.stayAway(), over.answered(), report);
+                over.took(), over.answered(), report);
         happenings.add(now -> roll.ended(now, end));
     }
 
@@ -195,7 +195,7 @@
             }
             Neighbour to = switchboard.neighbour(target);
             if (to == null) {
-                RingEnd end = new RingEnd(contact, number, target, Cause.NOT_SENT, Blame.NONE, Span.ZERO, Span.ZERO,
+                RingEnd end = new RingEnd(contact, number, target, Cause.NOT_SENT, Blame.NONE, Span.ZERO,
                         false, new float[0]);
                 happenings.add(now -> roll.ended(now, end));
                 return;
@@ -244,11 +244,6 @@
             hands.note(peer, note);
         }
 
-        @Override
-        public void askList() {
-            hands.askList();
-        }
-
         @Override
         public void watchList(boolean on) {
             if (begun) {
--- a/src/main/java/martenslip/exchange/Hands.java
+++ b/src/main/java/martenslip/exchange/Hands.java
@@ -21,7 +21,5 @@
 
     void note(int peer, byte[] note);
 
-    void askList();
-
     void watchList(boolean on);
 }
--- a/src/main/java/martenslip/exchange/Outcome.java
+++ b/src/main/java/martenslip/exchange/Outcome.java
@@ -2,8 +2,6 @@
 
 import martenslip.control.Blame;
 import martenslip.control.Cause;
-import martenslip.control.Span;
-import martenslip.sip.message.Digits;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
 import martenslip.sip.transaction.Failure;
@@ -13,9 +11,9 @@
  * How a ring ended, read off a response, a failure or a BYE; the table is in docs/sip-mapping.md. It translates
  * and judges nothing.
  */
-record Outcome(Cause cause, Blame blame, Span stayAway) {
+record Outcome(Cause cause, Blame blame) {
     static Outcome of(Cause cause) {
-        return new Outcome(cause, Blame.NONE, Span.ZERO);
+        return new Outcome(cause, Blame.NONE);
     }
 
     static Outcome of(Response response) {
@@ -23,7 +21,7 @@
         return switch (response.status()) {
             case 408 -> of(Cause.TIMED_OUT);
             case 487 -> of(Cause.CALLED_OFF);
-            case 486, 600 -> new Outcome(Cause.BUSY, Blame.LINES_BUSY, Span.ZERO);
+            case 486, 600 -> new Outcome(Cause.BUSY, Blame.LINES_BUSY);
             case 500, 503, 504 -> turnedBack(response, release);
             default -> of(Cause.BUSY);
         };
@@ -33,29 +31,15 @@
         boolean transit = release != null && (release.from(Release.TRANSIT) || release.from(Release.BEYOND));
         if (transit) {
             boolean full = release.from(Release.BEYOND) && release.cause() == Release.CONGESTION;
-            return new Outcome(Cause.TURNED_BACK, full ? Blame.BEYOND_FULL : Blame.TANDEM, Span.ZERO);
+            return new Outcome(Cause.TURNED_BACK, full ? Blame.BEYOND_FULL : Blame.TANDEM);
         }
         if (response.status() == 504) {
             return of(Cause.TIMED_OUT);
         }
         if (release != null && release.cause() == Release.NO_CIRCUIT) {
-            return new Outcome(Cause.TURNED_BACK, Blame.NO_CIRCUIT, Span.ZERO);
+            return new Outcome(Cause.TURNED_BACK, Blame.NO_CIRCUIT);
         }
-        return new Outcome(Cause.TURNED_BACK, Blame.PROCESSOR, wait(response));
-    }
-
-    /** Retry-After in seconds, before a comment or parameters (RFC 3261 20.33). */
-    private static Span wait(Response response) {
-        String value = response.headers().first("Retry-After");
-        if (value == null) {
-            return Span.ZERO;
-        }
-        int end = 0;
-        while (end < value.length() && " (;".indexOf(value.charAt(end)) < 0) {
-            end++;
-        }
-        String seconds = value.substring(0, end);
-        return Digits.only(seconds, 6) ? Span.ofMillis(Integer.parseInt(seconds) * 1000.0) : Span.ZERO;
+        return new Outcome(Cause.TURNED_BACK, Blame.PROCESSOR);
     }
 
     static Outcome of(Failure why) {
--- a/src/main/java/martenslip/exchange/Surroundings.java
+++ b/src/main/java/martenslip/exchange/Surroundings.java
@@ -133,7 +133,7 @@
         }
     }
 
-    void askList() {
+    private void askList() {
         listAsked = calls.wheel().now();
         list.start();
     }
--- a/src/main/java/martenslip/exchange/ToLanes.java
+++ b/src/main/java/martenslip/exchange/ToLanes.java
@@ -55,11 +55,6 @@
         way.toSurroundings(around -> around.note(peer, note));
     }
 
-    @Override
-    public void askList() {
-        way.toSurroundings(Surroundings::askList);
-    }
-
     @Override
     public void watchList(boolean on) {
         way.toSurroundings(around -> around.watchList(on));
--- a/src/main/java/martenslip/expect/Trial.java
+++ b/src/main/java/martenslip/expect/Trial.java
@@ -232,7 +232,7 @@
                 @Override
                 public void turned(Cause cause, Blame blame) {
                     told(cause + (blame == Blame.NONE ? "" : " " + blame));
-                    module.ringEnded(now, new RingEnd(id, number, target, cause, blame, SET_UP, Span.ZERO, false,
+                    module.ringEnded(now, new RingEnd(id, number, target, cause, blame, SET_UP, false,
                             new float[0]));
                 }
 
@@ -306,11 +306,6 @@
             // Peers have nothing to add to a world of one contact.
         }
 
-        @Override
-        public void askList() {
-            // It was told whole.
-        }
-
         @Override
         public void watchList(boolean on) {
             // It was told whole, and stays so.
--- a/src/main/java/martenslip/play/Controllers.java
+++ b/src/main/java/martenslip/play/Controllers.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import martenslip.control.Span;
@@ -20,6 +21,8 @@
 
 /** The controllers of a day, each a process of its own: their files, their start, their end. */
 final class Controllers implements AutoCloseable {
+    /** Figures of the day's rules that only whoever judges them needs. */
+    private static final Set<String> JUDGED = Set.of("drain-grace-ms", "fall-ms");
     private static final long READY_SECONDS = 20;
 
     private final Day day;
@@ -109,6 +112,7 @@
             boolean limits = node == day.limits() && lanes > 0;
             text.append("  <").append(node.name()).append(limits ? " lanes=\"" + lanes + "\"" : "")
                     .append(node.attributes().entrySet().stream().filter(one -> !limits || !one.getKey().equals("lanes"))
+                    .filter(one -> !JUDGED.contains(one.getKey()))
                     .map(one -> " " + one.getKey() + "=\"" + one.getValue() + "\"").collect(Collectors.joining()))
                     .append("/>\n");
         }
--- a/src/main/java/martenslip/play/CoresBench.java
+++ b/src/main/java/martenslip/play/CoresBench.java
@@ -176,8 +176,8 @@
                     + "resource-priority='q735.1'/></skills><numbering>" + prefixes + "</numbering>"
                     + "<groups trunk-context='b.example'>" + groups + "</groups><limits most-rings='5' "
                     + "most-open='60000' come-back-ms='2000' silence-ms='900' lanes='" + lanes + "'/>"
-                    + "<rules release-ms='500' drain-grace-ms='2000' cold-share='0.3' warm-within-ms='10000' "
-                    + "fall-multiple='3' fall-ms='1500'/><reports fields='allowed depth'/><peers/></exchange>";
+                    + "<rules release-ms='500' cold-share='0.3' warm-within-ms='10000' "
+                    + "fall-multiple='3'/><reports fields='allowed depth'/><peers/></exchange>";
         }
 
         private Dialler dial(double rate, int forSeconds) throws IOException, InterruptedException {
--- a/src/main/java/martenslip/provision/Node.java
+++ b/src/main/java/martenslip/provision/Node.java
@@ -13,7 +13,6 @@
     private final int line;
     private final Map<String, String> attributes = new LinkedHashMap<>();
     private final List<Node> children = new ArrayList<>();
-    private final StringBuilder text = new StringBuilder();
 
     Node(String name, String path, int line) {
         this.name = name;
@@ -29,18 +28,10 @@
         children.add(child);
     }
 
-    void text(char[] from, int start, int length) {
-        text.append(from, start, length);
-    }
-
     public String name() {
         return name;
     }
 
-    public String content() {
-        return text.toString().trim();
-    }
-
     public List<Node> children() {
         return children;
     }
@@ -88,10 +79,6 @@
         return Span.ofMillis(decimal(attribute));
     }
 
-    public boolean flag(String attribute) {
-        return text(attribute).equals("true") || text(attribute).equals("1");
-    }
-
     public Fault fault(String reason) {
         return new Fault(line, path, reason);
     }
--- a/src/main/java/martenslip/provision/Sheet.java
+++ b/src/main/java/martenslip/provision/Sheet.java
@@ -159,13 +159,6 @@
             open.push(node);
         }
 
-        @Override
-        public void characters(char[] from, int start, int length) {
-            if (!open.isEmpty()) {
-                open.peek().text(from, start, length);
-            }
-        }
-
         @Override
         public void endElement(String space, String local, String qualified) {
             open.pop();
--- a/src/main/java/martenslip/provision/Site.java
+++ b/src/main/java/martenslip/provision/Site.java
@@ -21,8 +21,7 @@
 
     public record Limits(int mostRings, int mostOpen, Span comeBack, Span silence, int lanes) { }
 
-    public record RuleFigures(Span release, Span drainGrace, double coldShare, Span warmWithin, double fallMultiple,
-                              Span fall) { }
+    public record RuleFigures(Span release, double coldShare, Span warmWithin, double fallMultiple) { }
 
     public record Peer(int exchange, String uri, Hop hop) { }
 
--- a/src/main/java/martenslip/provision/SiteFile.java
+++ b/src/main/java/martenslip/provision/SiteFile.java
@@ -78,8 +78,8 @@
                 new Site.Limits(limits.integer("most-rings"), limits.integer("most-open"),
                         limits.ms("come-back-ms"), limits.ms("silence-ms"),
                         limits.has("lanes") ? limits.integer("lanes") : 1),
-                new Site.RuleFigures(rules.ms("release-ms"), rules.ms("drain-grace-ms"), rules.decimal("cold-share"),
-                        rules.ms("warm-within-ms"), rules.decimal("fall-multiple"), rules.ms("fall-ms")),
+                new Site.RuleFigures(rules.ms("release-ms"), rules.decimal("cold-share"),
+                        rules.ms("warm-within-ms"), rules.decimal("fall-multiple")),
                 List.of(root.child("reports").text("fields").split("\\s+")), peers);
     }
 
--- a/src/main/java/martenslip/roll/Roll.java
+++ b/src/main/java/martenslip/roll/Roll.java
@@ -150,7 +150,7 @@
         entry.live = -1;
         if (!foreign) {
             module.ringEnded(now, new RingEnd(end.contact(), end.ring() - entry.base, end.target(), end.cause(),
-                    end.blame(), end.took(), end.stayAway(), end.answered(), end.report()));
+                    end.blame(), end.took(), end.answered(), end.report()));
         } else if (!entry.answered) {
             offerLater(entry, mayHold(end.cause()) ? now.plus(release) : now);
         }
@@ -223,7 +223,7 @@
     private void over(Moment now, Entry entry, Cause cause) {
         if (entry.live >= 0) {
             ended(now, new RingEnd(entry.contact.id(), entry.live, entry.target, cause, Blame.NONE, Span.ZERO,
-                    Span.ZERO, entry.answered, new float[0]));
+                    entry.answered, new float[0]));
         }
     }
 
--- a/src/test/java/martenslip/EveryOrderTest.java
+++ b/src/test/java/martenslip/EveryOrderTest.java
@@ -198,7 +198,7 @@
             if (name.equals("ringEnded")) {
                 RingEnd end = (RingEnd) values[1];
                 values[1] = new RingEnd(end.contact(), end.ring(), end.target(), Cause.UNREACHABLE, end.blame(),
-                        end.took(), end.stayAway(), end.answered(), end.report());
+                        end.took(), end.answered(), end.report());
             }
             return values;
         }), "5");
--- a/src/test/java/martenslip/Exchange.java
+++ b/src/test/java/martenslip/Exchange.java
@@ -109,11 +109,6 @@
         ordered.add("note " + peer);
     }
 
-    @Override
-    public void askList() {
-        ordered.add("ask list");
-    }
-
     @Override
     public void watchList(boolean on) {
         ordered.add("watch " + on);
--- a/src/test/java/martenslip/LogicTest.java
+++ b/src/test/java/martenslip/LogicTest.java
@@ -23,7 +23,7 @@
 
 public class LogicTest {
     private static RingEnd end(long contact, int ring, Cause cause, Blame blame) {
-        return new RingEnd(contact, ring, 101, cause, blame, Span.ofMillis(10), Span.ZERO, false, new float[0]);
+        return new RingEnd(contact, ring, 101, cause, blame, Span.ofMillis(10), false, new float[0]);
     }
 
     private static Logic.Ask ask(Exchange exchange, int skill, int width) {
--- a/src/test/java/martenslip/TinyWorld.java
+++ b/src/test/java/martenslip/TinyWorld.java
@@ -265,7 +265,7 @@
         rules.ended(now, offer.key(), cause == Cause.TIMED_OUT || cause == Cause.CUT || cause == Cause.CALLED_OFF);
         boolean stood = flight.stood;
         offer.at.module.ringEnded(now, new RingEnd(offer.contact.id(), flight.ring, flight.target, cause, blame,
-                Span.ofMillis(10), Span.ZERO, offer.answered, new float[0]));
+                Span.ofMillis(10), offer.answered, new float[0]));
         if (flight.beyond != null) {
             leaves(flight.beyond);
         }
@@ -481,14 +481,9 @@
             // Not allowed here.
         }
 
-        @Override
-        public void askList() {
-            // The list is told unasked.
-        }
-
         @Override
         public void watchList(boolean on) {
-            // As above.
+            // The list is told unasked.
         }
 
         @Override
--- a/src/test/java/martenslip/exchange/WireWorld.java
+++ b/src/test/java/martenslip/exchange/WireWorld.java
@@ -212,9 +212,9 @@
                 <groups trunk-context="t.example"><group name="g1" far="1" circuits="4"/>
                 <group name="g2" far="2" circuits="4"/></groups>
                 <limits most-rings="3" most-open="20" come-back-ms="2000" silence-ms="300"/>
-                <rules release-ms="100" %s cold-share="0.3" warm-within-ms="1000" fall-multiple="3"/>
+                <rules release-ms="100" cold-share="0.3" warm-within-ms="1000" fall-multiple="3"/>
                 <reports fields="allowed depth"/><peers/></exchange>
-                """.formatted("drain-grace-ms=\"500\" fall-ms=\"1500\"");
+                """;
         try {
             return SiteFile.read("test", text.getBytes(StandardCharsets.UTF_8), Path.of("."));
         } catch (Rejected e) {
--- a/src/test/java/martenslip/expect/ExpectTest.java
+++ b/src/test/java/martenslip/expect/ExpectTest.java
@@ -45,8 +45,8 @@
                 + "patience-ms='4000' mean-hold-ms='3000'/><skill name='slot' value='8' width='4' answer-target-ms='1200' "
                 + "patience-ms='4000' mean-hold-ms='3000' resource-priority='q735.1'/></skills><numbering>" + prefixes
                 + "</numbering><groups trunk-context='t.example'>" + lines + "</groups><limits most-rings='5' "
-                + "most-open='1000' come-back-ms='1000' silence-ms='600'/><rules release-ms='500' drain-grace-ms='300' "
-                + "cold-share='0.3' warm-within-ms='10000' fall-multiple='3' fall-ms='1500'/>"
+                + "most-open='1000' come-back-ms='1000' silence-ms='600'/><rules release-ms='500' "
+                + "cold-share='0.3' warm-within-ms='10000' fall-multiple='3'/>"
                 + "<reports fields='allowed depth'/><peers/></exchange>").getBytes(StandardCharsets.UTF_8), Path.of("."));
     }
 
--- a/src/test/java/martenslip/play/SmallWorld.java
+++ b/src/test/java/martenslip/play/SmallWorld.java
@@ -142,8 +142,8 @@
                 + "patience-ms='4000' mean-hold-ms='300'/></skills><numbering>" + prefixes + "</numbering>"
                 + "<groups trunk-context='t.example'>" + groups + "</groups>"
                 + "<limits most-rings='5' most-open='1000' come-back-ms='1000' silence-ms='600' lanes='" + lanes + "'/>"
-                + "<rules release-ms='500' drain-grace-ms='300' cold-share='0.3' warm-within-ms='10000' "
-                + "fall-multiple='3' fall-ms='1500'/><reports fields='allowed depth'/><peers/></exchange>";
+                + "<rules release-ms='500' cold-share='0.3' warm-within-ms='10000' "
+                + "fall-multiple='3'/><reports fields='allowed depth'/><peers/></exchange>";
     }
 
     static void await(BooleanSupplier what, String name) {
--- a/src/test/java/martenslip/roll/RollTest.java
+++ b/src/test/java/martenslip/roll/RollTest.java
@@ -48,7 +48,7 @@
     }
 
     private static RingEnd end(long contact, int ring, Cause cause) {
-        return new RingEnd(contact, ring, 9, cause, Blame.NONE, Span.ZERO, Span.ZERO, false, new float[0]);
+        return new RingEnd(contact, ring, 9, cause, Blame.NONE, Span.ZERO, false, new float[0]);
     }
 
     private static Roll.Held held(long id, int rings, int out, boolean stood, boolean answered, Moment heldUntil) {
