Kept list: its reading has a bound, and no fault ends its thread unseen

Seen: tests of error paths that nothing had run. A file of any size was read whole at start; a path without a folder above it threw outside of what was caught, the thread ended, and no later list was kept or told of. Ruled out: a half written file (the new one is moved in place) and a folder in the file's place (told, tried again). At fault: KeptList.read and KeptList.write.

--- a/src/main/java/martenslip/exchange/KeptList.java
+++ b/src/main/java/martenslip/exchange/KeptList.java
@@ -13,6 +13,8 @@
  * only the newest list waits for it. A crash leaves the old file or the new one, never a part.
  */
 final class KeptList implements AutoCloseable {
+    /** The 4,096 lines that the schema allows take a quarter of this. */
+    static final int MOST_BYTES = 4 << 20;
     private final Path file;
     private final Consumer<String> trouble;
     private final Thread thread;
@@ -30,6 +32,9 @@
     /** What was kept, or null where there is nothing yet. */
     byte[] read() throws IOException {
         try {
+            if (Files.size(file) > MOST_BYTES) {
+                throw new IOException("over " + MOST_BYTES + " bytes");
+            }
             return Files.readAllBytes(file);
         } catch (NoSuchFileException e) {
             return null;
@@ -70,7 +75,8 @@
             } catch (AtomicMoveNotSupportedException e) {
                 Files.move(fresh, file, StandardCopyOption.REPLACE_EXISTING);
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
+            // Whatever it was: the thread goes on, or no later list would be kept and nobody told.
             trouble.accept("switch list not kept in " + file + ": " + e);
         }
     }
