Module: urgent contacts wait for circuits only; no look after a full processor

Change: an urgent contact kept back by a share, a processor or a cold budget no longer waits for it, and a contact whose ring met a full processor no longer looks again after a quarter of its target.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -424,10 +424,9 @@
             }
         }
 
-        /** What may still pay within its answer target waits: for a circuit, or where it is the dearest. */
+        /** What may still pay within its answer target waits for a circuit. */
         void refuse(Ask ask, Reason reason) {
-            boolean may = reason == Reason.FULL || ask.urgent() && reason != Reason.DOWN;
-            if (ask.contact.inTransit() || !may || !now.before(ask.waitUntil)) {
+            if (ask.contact.inTransit() || reason != Reason.FULL || !now.before(ask.waitUntil)) {
                 front.put(new Denied(ask.contact.id(), this != ask.destination));
                 return;
             }
@@ -655,10 +654,8 @@
             }
             boolean held = EnumSet.of(Cause.TIMED_OUT, Cause.CUT, Cause.CALLED_OFF).contains(end.cause());
             boolean pressed = end.blame() == Blame.PROCESSOR || end.blame() == Blame.BEYOND_FULL;
-            boolean done = one.contact.inTransit() || end.cause() == Cause.BUSY
-                    || pressed && one.skill.rank > 0;
-            Moment again = held ? now.plus(release).plus(round)
-                    : pressed ? now.plus(urgentOne.target.times(AGAIN)) : now;
+            boolean done = one.contact.inTransit() || end.cause() == Cause.BUSY || pressed;
+            Moment again = held ? now.plus(release).plus(round) : now;
             if (!done && again.before(one.paysUntil)) {
                 seekAt(one, again);
             } else if (held) {
