Release: a CANCEL that left late starts it anew; the lane refuses a ring within it

Cause, by reading: a ring given up before any response may not be cancelled yet (RFC 3261 9.1); its CANCEL leaves when a late response comes, while the module counts the release from the giving up. EveryWireTest excused it so far. Measured: EveryWireTest with the same counts, dialogs, lanes and architecture 54 of 54.

--- a/src/main/java/martenslip/exchange/Contacts.java
+++ b/src/main/java/martenslip/exchange/Contacts.java
@@ -164,7 +164,7 @@
         int far = send.to() == null ? -1 : send.to().line().number();
         Ring ring = new Ring(send.number(), send.target(), far, now(), now().plus(send.limit()));
         boolean may = send.to() != null && taken.live() == null && !taken.answered
-                && send.limit().longerThan(Span.ZERO) && send.number() < site.limits().mostRings();
+                && send.limit().longerThan(Span.ZERO) && released(taken) && send.number() < site.limits().mostRings();
         taken.rings = send.number() + 1;
         if (!may) {
             over(taken, ring, Outcome.of(Cause.NOT_SENT), Load.NONE);
@@ -177,6 +177,11 @@
         ring.call = calls.call(invite, send.to().hop(), new Answers(taken, ring));
     }
 
+    /** Rule 5 counts from a CANCEL that left late too, of which the module knows nothing. */
+    private boolean released(Taken taken) {
+        return taken.heldUntil == null || !now().before(taken.heldUntil.plus(site.rules().release()));
+    }
+
     /** Sets the timers of a ring that is out. */
     void watch(Taken taken, Ring ring) {
         ring.limit = calls.wheel().at(ring.until, () -> gaveUp(taken, ring));
@@ -401,6 +406,14 @@
             reports.stood(taken.contact.id(), ring.number, ring.target, now().since(ring.at), Load.of(response));
         }
 
+        @Override
+        public void cancelledLate() {
+            if (open.containsKey(taken.contact.id())) {
+                taken.heldUntil = now();
+                keep(taken);
+            }
+        }
+
         @Override
         public void refused(Response response) {
             end(taken, ring, Outcome.of(response), Load.of(response));
--- a/src/main/java/martenslip/sip/dialog/CallOut.java
+++ b/src/main/java/martenslip/sip/dialog/CallOut.java
@@ -31,6 +31,11 @@
 
         void refused(Response response);
 
+        /** It was taken back before any response; the first one has come now, and only now its CANCEL has left. */
+        default void cancelledLate() {
+            // Most listeners need not know.
+        }
+
         void failed(Failure why);
 
         /** A call that stood ended from the far side; {@code bye} is null without one. */
@@ -115,8 +120,9 @@
         if (response.provisional()) {
             if (state == State.CALLING) {
                 listener.progress(response);
-            } else if (state == State.TAKEN_BACK) {
+            } else if (state == State.TAKEN_BACK && !cancelSent) {
                 sendCancel();
+                listener.cancelledLate();
             }
         } else if (response.success()) {
             success(response);
