Tests: one search through every order serves the module and the wire

Cause: EveryOrderTest and EveryWireTest each had the same depth-first search, and each step asked its world twice. Change: EveryOrder holds the search, the worlds are its World; a step asks once. A broken connection ends the rings once, not once a switch; BadWireTest cuts messages and notices by one method. No assertion changed.

--- a/src/test/java/martenslip/EveryOrderTest.java
+++ b/src/test/java/martenslip/EveryOrderTest.java
@@ -5,11 +5,8 @@
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Function;
-import java.util.function.UnaryOperator;
-import martenslip.TinyWorld.Event;
+import martenslip.EveryOrder.Found;
 import martenslip.TinyWorld.Plan;
 import martenslip.control.Cause;
 import martenslip.control.Controller;
@@ -20,74 +17,11 @@
 import org.testng.annotations.Test;
 
 /**
- * The very module, through every order of a few events: depth first, each sequence played from the start. After so
- * many choices the rest is played in one order until nothing is left to come. Every event is judged by the rules.
+ * The very module, through every order of a few events. Every event is judged by the rules.
  */
 public class EveryOrderTest {
-    private static final int MOST_TAIL = 400;
-
-    /** How many sequences a world has and the first fault met, or null. */
-    private record Found(long sequences, String fault) { }
-
-    private static final class Search {
-        private final Plan plan;
-        private final int depth;
-        private final UnaryOperator<Orders> orders;
-        private final Function<Controller, Controller> module;
-        private long sequences;
-        private String fault;
-
-        Search(Plan plan, int depth, UnaryOperator<Orders> orders, Function<Controller, Controller> module) {
-            this.plan = plan;
-            this.depth = depth;
-            this.orders = orders;
-            this.module = module;
-        }
-
-        Found run() {
-            from(new int[0]);
-            return new Found(sequences, fault);
-        }
-
-        private void from(int[] picks) {
-            TinyWorld world = new TinyWorld(plan, orders, module);
-            List<String> names = new ArrayList<>();
-            for (int pick : picks) {
-                step(world, pick, names);
-            }
-            int choices = world.enabled().size();
-            if (picks.length == depth || choices == 0) {
-                sequences++;
-                for (int i = 0; i < MOST_TAIL && !world.enabled().isEmpty(); i++) {
-                    step(world, 0, names);
-                }
-                world.quiet();
-                check(world, names);
-                return;
-            }
-            check(world, names);
-            int[] next = java.util.Arrays.copyOf(picks, picks.length + 1);
-            for (int pick = 0; pick < choices && fault == null; pick++) {
-                next[picks.length] = pick;
-                from(next);
-            }
-        }
-
-        private static void step(TinyWorld world, int pick, List<String> names) {
-            Event event = world.enabled().get(pick);
-            names.add(event.name());
-            event.what().run();
-        }
-
-        private void check(TinyWorld world, List<String> names) {
-            if (fault == null && !world.rules.broken().isEmpty()) {
-                fault = world.rules.broken() + " after " + names;
-            }
-        }
-    }
-
     private static Found search(Plan plan, int depth) {
-        return new Search(plan, depth, orders -> orders, module -> module).run();
+        return EveryOrder.search(() -> new TinyWorld(plan, orders -> orders, module -> module), depth);
     }
 
     private static Plan plan(int direct, int around, int offers, int troubles, boolean late, String... faults) {
@@ -145,15 +79,17 @@
     }
 
     private static Found withOrders(Plan plan, Change change) {
-        return new Search(plan, 6, orders -> spoilt(Orders.class, orders, change), module -> module).run();
+        return EveryOrder.search(() -> new TinyWorld(plan, orders -> spoilt(Orders.class, orders, change),
+                module -> module), 6);
     }
 
     private static Found withModule(Plan plan, Change change) {
-        return new Search(plan, 6, orders -> orders, module -> spoilt(Controller.class, module, change)).run();
+        return EveryOrder.search(() -> new TinyWorld(plan, orders -> orders,
+                module -> spoilt(Controller.class, module, change)), 6);
     }
 
     private static void caught(Found found, String rule) {
-        assertTrue(found.fault != null && found.fault.startsWith("[" + rule + ": "), "" + found);
+        assertTrue(found.fault() != null && found.fault().startsWith("[" + rule + ": "), "" + found);
     }
 
     @Test
--- a/src/test/java/martenslip/TinyWorld.java
+++ b/src/test/java/martenslip/TinyWorld.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.UnaryOperator;
+import martenslip.EveryOrder.Event;
 import martenslip.control.Blame;
 import martenslip.control.Cause;
 import martenslip.control.Contact;
@@ -24,15 +25,13 @@
  * Exchanges 0, 1 and 2, each pair with a group, and the very module at 0 and at 2, which is 0's tandem to 1. It says
  * which events may come next; whoever explores it picks one at a time, and {@link FiveRules} looks on.
  */
-final class TinyWorld {
+final class TinyWorld implements EveryOrder.World {
     static final Span RELEASE = Span.ofMillis(100);
     static final Span ROUND = Span.ofMillis(25);
     static final Span GRACE = Span.ofMillis(50);
     static final Span WARM = Span.ofMillis(4000);
     private static final Blame[] TURNED = {Blame.NO_CIRCUIT, Blame.PROCESSOR};
 
-    record Event(String name, Runnable what) { }
-
     /** What a world is made of; {@code late} has every clock heard a round late. */
     record Plan(int direct, int around, int offers, int troubles, boolean late, int patience,
                 List<String> faults) { }
@@ -82,7 +81,7 @@
         }
     }
 
-    final FiveRules rules = new FiveRules(GRACE, RELEASE, WARM);
+    private final FiveRules rules = new FiveRules(GRACE, RELEASE, WARM);
     private final Plan plan;
     private final UnaryOperator<Orders> spoilsOrders;
     private final java.util.function.Function<Controller, Controller> spoils;
@@ -151,8 +150,8 @@
         due.add(new Due(now.plus(span), count++, what));
     }
 
-    /** What may come next, always in the same order. */
-    List<Event> enabled() {
+    @Override
+    public List<Event> enabled() {
         List<Event> all = new ArrayList<>();
         if (offered < plan.offers) {
             all.add(new Event("offer", () -> offer(offered++ % 2)));
@@ -359,8 +358,13 @@
         }
     }
 
-    /** At the end of all nothing may be left. */
-    void quiet() {
+    @Override
+    public FiveRules rules() {
+        return rules;
+    }
+
+    @Override
+    public void quiet() {
         for (Control control : controls.values()) {
             if (!control.logic.front.open.isEmpty()) {
                 rules.wrong("quiet", "open at " + control.number + " " + control.logic.front.open.keySet());
--- a/src/test/java/martenslip/exchange/BadWireTest.java
+++ b/src/test/java/martenslip/exchange/BadWireTest.java
@@ -65,11 +65,17 @@
                 (message, to) -> false);
     }
 
-    private static List<String> spoilt(String good) {
+    /** Cut short at each byte. */
+    private static List<String> cut(String good) {
         List<String> all = new ArrayList<>();
-        for (int cut = 0; cut < good.length(); cut++) {
-            all.add(good.substring(0, cut));
+        for (int length = 0; length < good.length(); length++) {
+            all.add(good.substring(0, length));
         }
+        return all;
+    }
+
+    private static List<String> spoilt(String good) {
+        List<String> all = cut(good);
         String[] lines = good.split("\r\n", -1);
         for (int line = 0; line < lines.length && !lines[line].isEmpty(); line++) {
             int colon = line == 0 ? lines[0].indexOf(' ') : lines[line].indexOf(':');
@@ -171,10 +177,7 @@
     }
 
     private static List<String> attributes(String good) {
-        List<String> all = new ArrayList<>();
-        for (int cut = 0; cut < good.length(); cut++) {
-            all.add(good.substring(0, cut));
-        }
+        List<String> all = cut(good);
         for (int from = good.indexOf("=\""); from > 0; from = good.indexOf("=\"", from + 1)) {
             int to = good.indexOf('"', from + 2);
             for (String odd : new String[] {"", "-1", "1.5", "NaN", "65535", "65536", "99999999999999999999", "sip:",
--- a/src/test/java/martenslip/exchange/WireWorld.java
+++ b/src/test/java/martenslip/exchange/WireWorld.java
@@ -12,6 +12,8 @@
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import martenslip.EveryOrder;
+import martenslip.EveryOrder.Event;
 import martenslip.FiveRules;
 import martenslip.Logic;
 import martenslip.control.Controller.ListKind;
@@ -51,7 +53,7 @@
  * One exchange's real SIP, contacts, decider and module on driven time, between a caller and two switches that are
  * real ends too. It says which events may come next; the rules are judged by what leaves and reaches the exchange.
  */
-final class WireWorld {
+final class WireWorld implements EveryOrder.World {
     private static final int CALLER = 1000;
     private static final int EXCHANGE = 2000;
     private static final Site SITE = site();
@@ -61,8 +63,6 @@
     private static final Span LIFE = Span.ofMillis(4000);
     private static final int LONGEST = 80_000;
 
-    record Event(String name, Runnable what) { }
-
     record Plan(boolean tcp, int circuits, int losses, int refusals, boolean callerLeaves, boolean byes,
                 boolean breaks) { }
 
@@ -131,7 +131,7 @@
         }
     }
 
-    final FiveRules rules;
+    private final FiveRules rules;
     private final Plan plan;
     private final BiPredicate<Message, Integer> doubles;
     private final Wheel wheel = new Wheel(new Moment(0));
@@ -339,7 +339,8 @@
 
     // What may come next.
 
-    List<Event> enabled() {
+    @Override
+    public List<Event> enabled() {
         List<Event> all = new ArrayList<>();
         if (call == null) {
             all.add(new Event("call", this::call));
@@ -460,10 +461,8 @@
     private void breaks() {
         broke = true;
         flying.removeIf(one -> one.from >= 3000 || one.to >= 3000);
+        rings.keySet().forEach(callId -> over(callId, true));
         for (int port : new int[] {3001, 3002}) {
-            for (Map.Entry<String, Ring> ring : rings.entrySet()) {
-                over(ring.getKey(), true);
-            }
             ends.get(EXCHANGE).calls.transactions().arrived(new Arrival.Broken(hop(port), true, "planted"));
             ends.get(port).calls.transactions().arrived(new Arrival.Broken(hop(EXCHANGE), true, "planted"));
         }
@@ -525,7 +524,13 @@
         }
     }
 
-    void quiet() {
+    @Override
+    public FiveRules rules() {
+        return rules;
+    }
+
+    @Override
+    public void quiet() {
         if (busy() || !estate.wills().isEmpty()) {
             StringBuilder left = new StringBuilder("at the end: roll " + decider.size() + ", contacts "
                     + contacts.open() + ", wills " + estate.wills().size());
