--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -178,8 +178,9 @@
                 try {
                     inbox.peek().to((A) this);
                 } catch (RuntimeException e) {
-                    // It costs this piece of news: left in the inbox, it would keep all later ones from being read.
-                    orders.log("fault: " + e + " at " + e.getStackTrace()[0]);
+                    // It costs this piece of news; left in there, it would keep later ones from being read.
+                    // A fault that comes often has no trace.
+                    orders.log("fault: " + e + " at " + Arrays.stream(e.getStackTrace()).limit(1).toList());
                 } finally {
                     inbox.poll();
                 }
@@ -259,7 +260,7 @@
                 }
             }
             for (int i = 2; i < report.length && i < fields.size(); i++) {
-                // What is no number, or more than any processor does, was not told: it would be learned for good.
+                // No number, or more than any processor does, was not told: it would be learned for good.
                 double value = report[i] <= MOST_TOLD ? report[i] : -1;
                 toldAt = value < 0 ? toldAt : now;
                 switch (value < 0 ? "" : fields.get(i)) {
@@ -270,7 +271,8 @@
                         usual += (value - usual) * (value > usual ? 0.2 : 0.002);
                         // One that takes nothing at the first word is jammed, not free.
                         cutBy = usual == 0 ? 1 : Math.max(0, 1 - value / usual / FULL_WORK);
-                        wait = Span.ofMillis(1000 * MESSAGE * depth / Math.max(0.01, Math.max(value, usual / 100)));
+                        double pace = Math.max(0.01, Math.max(value, usual / 100));
+                        wait = Span.ofMillis(1000 * MESSAGE * depth / pace);
                     }
                 }
             }
@@ -613,7 +615,8 @@
         void seek(Open one) {
             one.destination = byNumber(one.contact.destination());
             // A number of the own exchange is no matter of trunks: over a tandem it would come back here.
-            if (one.destination == null || one.destination == home() || one.rings >= number("policy-limits.send-cap", 1)) {
+            if (one.destination == null || one.destination == home()
+                    || one.rings >= number("policy-limits.send-cap", 1)) {
                 defer(one);
                 return;
             }
@@ -715,7 +718,8 @@
     private final SplittableRandom chance;
     private Moment now;
     private final ArrayDeque<Actor<?>> busy = new ArrayDeque<>();
-    private final Map<Long, Switch> switches = new TreeMap<>(), legs = new TreeMap<>();
+    final Map<Long, Switch> switches = new TreeMap<>();
+    private final Map<Long, Switch> legs = new TreeMap<>();
     private final Map<Integer, Switch> numbers = new HashMap<>();
     private final Map<Integer, Map<Integer, Weight>> weightsTo = new HashMap<>();
     final Skill[] skills;
@@ -797,8 +801,6 @@
         return Math.max(0, Math.min(1, (value - from) / (to - from)));
     }
 
-    int known() { return switches.size(); }
-
     Switch home() { return byNumber(homeNumber); }
 
     Switch byNumber(int number) { return numbers.get(number); }
--- a/src/test/java/martenslip/BadInputTest.java
+++ b/src/test/java/martenslip/BadInputTest.java
@@ -122,6 +122,20 @@
         assertTrue(orders.get(0).startsWith("log fault"), "" + orders);
     }
 
+    /** The machine leaves the trace out of a fault that has come often. */
+    @Test
+    public void aFaultWithoutATraceDoesNotLeaveTheModule() {
+        Exchange exchange = exchange();
+        RuntimeException bare = new RuntimeException("planted", null, false, false) {
+            private static final long serialVersionUID = 1L;
+        };
+        exchange.logic.front.put(front -> {
+            throw bare;
+        });
+        offer(exchange, 1, CHEAP, 2);
+        assertEquals(exchange.orders().get(1), "ring 1 101");
+    }
+
     @Test
     public void machinesThatWereReplacedAreForgotten() {
         Exchange exchange = exchange();
@@ -134,6 +148,6 @@
         assertEquals(exchange.logic.turn(), Span.ofMillis(1000));
         offer(exchange, 1, CHEAP, 600);
         assertEquals(exchange.orders(), List.of("ring 1 1501"));
-        assertEquals(exchange.logic.known(), 4);
+        assertEquals(exchange.logic.switches.size(), 4);
     }
 }
