Release: the lane guards late CANCELs alone, with the test that was missing

Change: Taken notes the late CANCEL by itself and the guard reads that; a successor takes what the will has. New in EveryWireTest: a ring given up unheard, its CANCEL 45 ms later, the next ring not before the release of that.

--- a/src/main/java/martenslip/exchange/Contacts.java
+++ b/src/main/java/martenslip/exchange/Contacts.java
@@ -177,9 +177,9 @@
         ring.call = calls.call(invite, send.to().hop(), new Answers(taken, ring));
     }
 
-    /** Rule 5 counts from a CANCEL that left late too, of which the module knows nothing. */
+    /** Rule 5 counts from a CANCEL that left late too, of which the module knows nothing; the rest of it is its own. */
     private boolean released(Taken taken) {
-        return taken.heldUntil == null || !now().before(taken.heldUntil.plus(site.rules().release()));
+        return taken.cancelledLate == null || !now().before(taken.cancelledLate.plus(site.rules().release()));
     }
 
     /** Sets the timers of a ring that is out. */
@@ -409,6 +409,7 @@
         @Override
         public void cancelledLate() {
             if (open.containsKey(taken.contact.id())) {
+                taken.cancelledLate = now();
                 taken.heldUntil = now();
                 keep(taken);
             }
--- a/src/main/java/martenslip/exchange/Taken.java
+++ b/src/main/java/martenslip/exchange/Taken.java
@@ -24,6 +24,8 @@
     Will.Bye bye = Will.Bye.NONE;
     /** When the last ring ended that may still hold something. */
     Moment heldUntil;
+    /** When a CANCEL left that could not leave as its ring was given up, or null. */
+    Moment cancelledLate;
     /** Why the last ring ended, for a tandem to pass on. */
     Blame last = Blame.NONE;
     /** Its INVITE would count as a new one by now. */
@@ -42,6 +44,8 @@
         this(will.contact(), caller, will.number(), will.at());
         rings = will.rings();
         heldUntil = will.heldUntil();
+        // It may have been a late CANCEL's: a will does not say, and to wait is safe.
+        cancelledLate = heldUntil;
         last = will.last();
         answered = will.answered();
         answer = will.answer();
--- a/src/test/java/martenslip/exchange/BadWireTest.java
+++ b/src/test/java/martenslip/exchange/BadWireTest.java
@@ -28,7 +28,7 @@
         "sip:", "<sip:>", "<sip:a@>", "<sip:%zz@127.0.0.1>", "1 2 3", "*", "%", "\u0000", "\u00e9", "a,b,,c",
         "tel:+1555", "<sip:+1555;tgrp=;trunk-context=@127.0.0.1:1>", "<sip:+1555@127.0.0.1:99999>;tag=a;tag=b",
         "<sip:x@no.such.host.invalid>;tag=a", "a".repeat(9000)};
-    private static final String INVITE = """
+    static final String INVITE = """
             INVITE sip:+1555@127.0.0.1:2000 SIP/2.0
             Via: SIP/2.0/UDP 127.0.0.1:1000;branch=z9hG4bKa;rport
             Max-Forwards: 70
--- a/src/test/java/martenslip/exchange/EveryWireTest.java
+++ b/src/test/java/martenslip/exchange/EveryWireTest.java
@@ -5,6 +5,8 @@
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.BiPredicate;
 import martenslip.EveryOrder;
 import martenslip.EveryOrder.Found;
@@ -61,6 +63,25 @@
         assertEquals(search(plan, depth, RELEASE, (message, to) -> false), new Found(sequences, null), name);
     }
 
+    /** A ring given up unheard may be cancelled only once a response has come (RFC 3261 9.1), here 45 ms later. */
+    @Test
+    public void aCancelThatLeavesLateStartsTheReleaseAnew() {
+        WireWorld world = new WireWorld(WireWorld.site(200), new Plan(false, 4, 0, 0, false, false, false), RELEASE,
+                (message, to) -> false);
+        world.arrive(BadWireTest.INVITE.getBytes(StandardCharsets.UTF_8), 1000);
+        Request first = (Request) world.sentTo(3001).get(0);
+        world.passes(245);
+        assertEquals(sent(world), 1L);
+        world.arrive(first.answer(180, "Ringing", "tag").bytes(), 3001);
+        world.passes(200);
+        assertEquals(sent(world), 2L);
+        assertEquals(world.rules().broken(), List.of());
+    }
+
+    private static long sent(WireWorld world) {
+        return world.sentTo(-1).stream().filter(one -> one instanceof Request request && request.is("INVITE")).count();
+    }
+
     private static void caught(Found found, String rule) {
         assertTrue(found.fault() != null && found.fault().startsWith("[" + rule + ": "), "" + found);
     }
--- a/src/test/java/martenslip/exchange/WireWorld.java
+++ b/src/test/java/martenslip/exchange/WireWorld.java
@@ -56,7 +56,7 @@
 final class WireWorld implements EveryOrder.World {
     private static final int CALLER = 1000;
     private static final int EXCHANGE = 2000;
-    private static final Site SITE = site();
+    private static final Site SITE = site(300);
     private static final Span SLACK = Span.ofMillis(20);
     private static final Span SILENCE = Span.ofMillis(300);
     /** No message is longer under way. */
@@ -155,6 +155,10 @@
     private long now;
 
     WireWorld(Plan plan, Span release, BiPredicate<Message, Integer> doubles) {
+        this(SITE, plan, release, doubles);
+    }
+
+    WireWorld(Site site, Plan plan, Span release, BiPredicate<Message, Integer> doubles) {
         this.plan = plan;
         this.doubles = doubles;
         rules = new FiveRules(Span.ofMillis(500), release, Span.ofMillis(1000));
@@ -170,7 +174,7 @@
                 // Nothing is asked of the list's service here.
             }
         });
-        decider = new Decider(SITE, Logic::new, 1, wheel, hands, log);
+        decider = new Decider(site, Logic::new, 1, wheel, hands, log);
         ToDecider reports = new ToDecider((report, refusable) -> {
             report.accept(decider);
             return true;
@@ -178,7 +182,7 @@
         for (int port : new int[] {CALLER, EXCHANGE, 3001, 3002}) {
             ends.put(port, new End(port));
         }
-        contacts = new Contacts(SITE, ends.get(EXCHANGE).calls, 0, estate, reports, () -> false, log,
+        contacts = new Contacts(site, ends.get(EXCHANGE).calls, 0, estate, reports, () -> false, log,
                 new Figures());
         world();
     }
@@ -201,7 +205,8 @@
         decider.tellAll();
     }
 
-    private static Site site() {
+    /** {@code silence} is after how many milliseconds a ring without a word is given up. */
+    static Site site(int silence) {
         String text = """
                 <exchange xmlns="urn:martenslip:exchange:1" number="0" region="r" seed="1">
                 <listen host="127.0.0.1" udp="2000" tcp="2000"/><circuits uri="sip:c@127.0.0.1:9"/>
@@ -211,10 +216,10 @@
                 <prefix digits="+2" exchange="2"/><prefix digits="+9" exchange="0"/></numbering>
                 <groups trunk-context="t.example"><group name="g1" far="1" circuits="4"/>
                 <group name="g2" far="2" circuits="4"/></groups>
-                <limits most-rings="3" most-open="20" come-back-ms="2000" silence-ms="300"/>
+                <limits most-rings="3" most-open="20" come-back-ms="2000" silence-ms="%d"/>
                 <rules release-ms="100" cold-share="0.3" warm-within-ms="1000" fall-multiple="3"/>
                 <reports fields="allowed depth"/><peers/></exchange>
-                """;
+                """.formatted(silence);
         try {
             return SiteFile.read("test", text.getBytes(StandardCharsets.UTF_8), Path.of("."));
         } catch (Rejected e) {
@@ -475,6 +480,9 @@
         if (read.message() == null || read.status() != 0 && !(read.message() instanceof Request)) {
             return false;
         }
+        if (read.status() == 0) {
+            reaches(read.message());
+        }
         ends.get(EXCHANGE).calls.transactions().arrived(read.status() == 0
                 ? new Arrival.Received(read.message(), hop(from))
                 : new Arrival.Wrong((Request) read.message(), read.status(), read.fault(), hop(from)));
