--- a/src/main/java/martenslip/cli/Main.java
+++ b/src/main/java/martenslip/cli/Main.java
@@ -3,11 +3,16 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicReference;
 import martenslip.Logic;
 import martenslip.drill.Drill;
 import martenslip.drill.MalformedWire;
+import martenslip.platform.Serve;
+import sun.misc.Signal;
 
-/** The way in. The drill's CPU is billed, so it is reached before any library is. */
+/** The way in. The drill's CPU is billed and a controller in service has little memory, so both are
+ * reached before any library is. */
 public final class Main {
     private Main() {
     }
@@ -15,11 +20,44 @@
     public static void main(String[] args) {
         if (args.length == 1 && args[0].equals("drill")) {
             drill();
+        } else if (args.length == 1 && args[0].equals("serve")) {
+            serve();
         } else {
             System.exit(Program.run(args));
         }
     }
 
+    /** The signals are taken first of all: a SIGHUP that comes early would end the process. */
+    private static void serve() {
+        AtomicReference<Serve> serving = new AtomicReference<>();
+        Signal.handle(new Signal("HUP"), any -> {
+            if (serving.get() != null) {
+                serving.get().reload();
+            }
+        });
+        try {
+            Path placed = Serve.placed();
+            Serve serve;
+            try {
+                serve = new Serve(placed, Logic::new);
+            } catch (IOException | RuntimeException e) {
+                System.err.println("martenslip: " + placed + ": " + e.getMessage());
+                System.exit(2);
+                return;
+            }
+            Signal.handle(new Signal("TERM"), any -> serve.term());
+            serve.open();
+            serving.set(serve);
+            serve.await();
+            System.exit(0);
+        } catch (IOException e) {
+            System.err.println("martenslip: " + e.getMessage());
+            System.exit(2);
+        } catch (InterruptedException e) {
+            System.exit(1);
+        }
+    }
+
     private static void drill() {
         try (FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
             new Drill(System.in, out, Logic::new).run();
--- a/src/main/java/martenslip/cli/Program.java
+++ b/src/main/java/martenslip/cli/Program.java
@@ -7,7 +7,7 @@
 @Command(name = "martenslip", mixinStandardHelpOptions = true, version = "martenslip 0.2.0",
         description = "A call controller that sets calls up over shared groups of circuits.",
         subcommands = {RunCommand.class, PlayCommand.class, ProveCommand.class, MeasureCommand.class, CheckCommand.class,
-            BenchCommand.class, ExpectCommand.class, DrillCommand.class})
+            BenchCommand.class, ExpectCommand.class, DrillCommand.class, ServeCommand.class})
 final class Program {
     private Program() {
     }
--- /dev/null
+++ b/src/main/java/martenslip/platform/Placement.java
@@ -0,0 +1,86 @@
+package martenslip.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import martenslip.platform.journal.ListEvent;
+import martenslip.platform.json.Addresses;
+import martenslip.platform.json.Json;
+
+/**
+ * What the platform tells one controller at its start and at each SIGHUP; read whole or not at all. An error names the
+ * path in the file and the reason.
+ */
+record Placement(String name, InetSocketAddress listen, long seed, int sockets, InetSocketAddress peerListen,
+                 List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress journal, long position,
+                 List<ListEvent> known, Map<String, String> settings) {
+    private static final int MOST_BYTES = 4 << 20;
+
+    static Placement read(Path file) throws IOException {
+        if (Files.size(file) > MOST_BYTES) {
+            throw new IOException("over " + MOST_BYTES + " bytes");
+        }
+        if (!(Json.read(Files.readAllBytes(file)) instanceof Map<?, ?> all)) {
+            throw new IOException("no object");
+        }
+        List<InetSocketAddress> peers = new ArrayList<>();
+        if (all.get("peers") instanceof List<?> list) {
+            for (Object peer : list) {
+                peers.add(Addresses.of(peer, "peers"));
+            }
+        }
+        List<ListEvent> known = new ArrayList<>();
+        long position = 0;
+        if (all.get("known") instanceof Map<?, ?> map) {
+            position = (long) figure(map.get("pos"), "known.pos");
+            if (map.get("entries") instanceof List<?> entries) {
+                for (Object entry : entries) {
+                    known.add(ListEvent.of(entry));
+                }
+            }
+        }
+        Map<?, ?> limits = map(all.get("limits"), "limits");
+        return new Placement(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
+                seed(text(all.get("seed"), "seed")), (int) figure(limits.get("sockets"), "limits.sockets"),
+                optional(all.get("peer_listen"), "peer_listen"), List.copyOf(peers),
+                optional(all.get("peers_all"), "peers_all"), Addresses.of(all.get("journal"), "journal"), position,
+                List.copyOf(known), Flat.of(map(all.get("settings"), "settings")));
+    }
+
+    private static InetSocketAddress optional(Object value, String where) throws IOException {
+        return value == null ? null : Addresses.of(value, where);
+    }
+
+    private static Map<?, ?> map(Object value, String where) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw new IOException(where + " is missing or no object");
+    }
+
+    private static String text(Object value, String where) throws IOException {
+        if (value instanceof String || value instanceof Json.Figure) {
+            return value.toString();
+        }
+        throw new IOException(where + " is missing or no text");
+    }
+
+    private static long seed(String text) throws IOException {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("seed is no number of 16 hex digits");
+        }
+    }
+
+    private static double figure(Object value, String where) throws IOException {
+        if (value instanceof Json.Figure figure) {
+            return figure.value();
+        }
+        throw new IOException(where + " is missing or no number");
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -0,0 +1,376 @@
+package martenslip.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import martenslip.control.Maker;
+import martenslip.control.Moment;
+import martenslip.control.Orders;
+import martenslip.control.Span;
+import martenslip.platform.caller.Callers;
+import martenslip.platform.desk.Desk;
+import martenslip.platform.desk.Outward;
+import martenslip.platform.desk.SetUp;
+import martenslip.platform.desk.Terms;
+import martenslip.platform.journal.Journal;
+import martenslip.platform.journal.ListEvent;
+import martenslip.platform.peer.Peers;
+import martenslip.platform.switchline.Load;
+import martenslip.platform.switchline.SwitchLines;
+import martenslip.sip.message.Request;
+import martenslip.sip.transport.Bounds;
+import martenslip.sip.transport.Drops;
+import martenslip.sip.transport.Writers;
+import martenslip.wheel.Post;
+import martenslip.wheel.Wheel;
+
+/** One controller in service on the platform: wires callers, switches, journal and peers to one deciding thread. */
+public final class Serve implements AutoCloseable {
+    private static final int INBOX = 4096;
+    private static final Span READY_AT_LAST = Span.ofMillis(1500);
+    /** After SIGTERM set-ups come for 0.6 s; what comes later than this is refused. */
+    private static final Span STILL_TAKEN = Span.ofMillis(750);
+    private static final Span LAST_FOR_SURE = Span.ofMillis(1000);
+    private static final Span LOOK = Span.ofMillis(50);
+    private static final Span TELL = Span.ofMillis(5000);
+    /** Parts of the descriptors: callers', and what files, the journal and the rest may need. */
+    private static final double CALLERS_PART = 0.55;
+
+    private final Path file;
+    private final Log log = new Log();
+    private final Drops drops = new Drops();
+    private final Writers writers = new Writers("desk", 16);
+    private final Post post = new Post("desk", INBOX);
+    private final Wheel wheel = post.wheel();
+    private final CountDownLatch done = new CountDownLatch(1);
+    private final Desk desk;
+    private final Callers callers;
+    private final SwitchLines switches;
+    private final Roster roster;
+    private final Journal journal;
+    private final Peers peers;
+    private final Placement start;
+    private volatile boolean ready;
+    private Moment termAt;
+    private int port;
+
+    public Serve(Path file, Maker maker) throws IOException {
+        this.file = file;
+        start = Placement.read(file);
+        Map<String, String> settings = start.settings();
+        Terms terms = terms(settings);
+        int forCallers = Math.max(16, (int) (start.sockets() * CALLERS_PART));
+        Bounds bounds = new Bounds(forCallers, Span.ofMillis(2000), Span.ofMillis(20_000), Span.ofMillis(1500),
+                256 * 1024, Span.ofMillis(3000), Span.ofMillis(500));
+        callers = new Callers(terms, bounds, writers, drops, fromCallers);
+        Span connect = span(settings, "policy-limits.connect-timeout-ns", 500e6);
+        Span idle = span(settings, "policy-limits.conn-idle-ns", 600e9);
+        Bounds toSwitches = new Bounds(256, idle.times(2), idle.times(2), Span.ofMillis(400), 256 * 1024,
+                Span.ofMillis(3000), connect);
+        switches = new SwitchLines(toSwitches, writers, wheel,
+                new Load(Arrays.asList(settings.getOrDefault("report.fields", "").split(","))), drops, this::turn,
+                fromSwitches);
+        desk = new Desk(wheel, terms, outward);
+        roster = new Roster(desk, switches, settings.getOrDefault("zones", ""), wheel.now(),
+                System.currentTimeMillis());
+        journal = new Journal(start.journal(), start.position(), fromJournal);
+        boolean notes = "true".equals(settings.get("policy-limits.peers")) && start.peerListen() != null;
+        int own = (int) Double.parseDouble(settings.getOrDefault("me", "-1"));
+        peers = notes ? new Peers(start.peerListen(), start.peers(), start.peersAll(), own, drops,
+                (peer, note) -> post.offer((Runnable) () -> desk.tell(to -> to.peerNote(wheel.now(), peer, note))))
+                : null;
+        desk.module(maker.make(settings, start.seed(), wheel.now(), desk));
+    }
+
+    /** Begins to serve; the port that is listened on is returned. */
+    public int open() throws IOException {
+        post.start(new Post.Duty() {
+            @Override
+            public void take(Object next) {
+                log.line("fault", "unknown piece of work " + next);
+            }
+
+            @Override
+            public void after() {
+                // Messages go out as they are queued; nothing is left for the end of a turn.
+            }
+
+            @Override
+            public void fault(Throwable fault) {
+                log.line("fault", fault + " at " + Arrays.stream(fault.getStackTrace()).limit(3).toList());
+            }
+        }, () -> {
+            roster.remembered(start.known(), wheel.now());
+            Moment begun = wheel.now();
+            look(begun);
+            wheel.after(TELL, this::told);
+        });
+        journal.start();
+        port = callers.open(start.listen());
+        log.line("start", start.name() + " listens at " + start.listen() + ", " + start.sockets() + " sockets, journal "
+                + start.journal() + " from " + start.position());
+        return port;
+    }
+
+    /** Waits until the controller has ended in good order. */
+    public void await() throws InterruptedException {
+        done.await();
+    }
+
+    private void look(Moment begun) {
+        if (switches.allTold() || wheel.now().since(begun).longerThan(READY_AT_LAST)) {
+            ready = true;
+            log.line("ready", "after " + wheel.now().since(begun).ns() / 1_000_000 + " ms, states of all groups: "
+                    + switches.allTold());
+        } else {
+            wheel.after(Span.ofMillis(10), () -> look(begun));
+        }
+    }
+
+    private void told() {
+        log.line("counts", desk.counts() + " open=" + desk.open() + " standing=" + desk.standing() + " unheard="
+                + desk.unheardReleases() + " lines=" + callers.count() + " switch-lines=" + switches.count()
+                + " threads=" + Thread.activeCount() + " waiting=" + post.waiting() + " drops=" + drops.counts());
+        wheel.after(TELL, this::told);
+    }
+
+    /** SIGHUP: the file is read anew; only a whole good one counts, else the one in force stays. */
+    public void reload() {
+        try {
+            Placement now = Placement.read(file);
+            if (!now.settings().equals(start.settings())) {
+                log.line("reload", "other settings than at the start: they count from the next start on");
+            }
+            journal.moved(now.journal());
+            log.line("reload", "journal " + now.journal() + " from " + journal.position());
+        } catch (IOException | RuntimeException e) {
+            log.line("reload", "refused, the one in force stays: " + file + ": " + e.getMessage());
+        }
+    }
+
+    /** SIGTERM: goes on until all that is owed is answered and nothing more can come, then ends. */
+    public void term() {
+        try {
+            turn(() -> {
+                if (termAt == null) {
+                    termAt = wheel.now();
+                    log.line("term", "open=" + desk.open() + " standing=" + desk.standing());
+                    wheel.after(STILL_TAKEN, desk::closing);
+                    wheel.after(LAST_FOR_SURE, this::ending);
+                }
+            });
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void ending() {
+        if (desk.open() > 0) {
+            wheel.after(LOOK, this::ending);
+            return;
+        }
+        Thread last = new Thread(null, () -> {
+            close();
+            done.countDown();
+        }, "last", 128 * 1024);
+        last.start();
+    }
+
+    @Override
+    public void close() {
+        // First: lines that end from here on are no news of callers who went away.
+        post.close();
+        try {
+            callers.close();
+        } catch (IOException e) {
+            log.line("close", e.getMessage());
+        }
+        journal.close();
+        switches.close();
+        if (peers != null) {
+            peers.close();
+        }
+        log.line("end", desk.counts().toString());
+    }
+
+    private void turn(Runnable what) throws InterruptedException {
+        post.put(what, () -> drops.count("waited for the deciding thread"));
+    }
+
+    private static Terms terms(Map<String, String> settings) throws IOException {
+        int count = (int) number(settings, "classes.count", 0);
+        if (count < 1) {
+            throw new IOException("settings.classes is missing or empty");
+        }
+        String[] names = new String[count];
+        Span longest = Span.ZERO;
+        for (int i = 0; i < count; i++) {
+            names[i] = settings.get("classes." + i + ".name");
+            if (names[i] == null) {
+                throw new IOException("settings.classes[" + i + "].name is missing");
+            }
+            longest = longest.least(span(settings, "classes." + i + ".hard-limit-ns", 9e9));
+        }
+        return new Terms(List.of(names), (int) number(settings, "policy-limits.max-open", 20_000), longest,
+                span(settings, "guarantees.answer-slack-ns", 20e6));
+    }
+
+    private static double number(Map<String, String> settings, String name, double otherwise) throws IOException {
+        String text = settings.get(name);
+        try {
+            return text == null ? otherwise : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            throw new IOException("settings." + name + " is no number: " + text);
+        }
+    }
+
+    private static Span span(Map<String, String> settings, String name, double otherwise) throws IOException {
+        return new Span((long) number(settings, name, otherwise));
+    }
+
+    private final Callers.Heard fromCallers = new Callers.Heard() {
+        @Override
+        public void setUp(SetUp asked) throws InterruptedException {
+            turn(() -> {
+                if (asked.standsAt() == null) {
+                    desk.setUp(asked);
+                } else if (roster.number(asked.standsAt()) == 0) {
+                    desk.stoodNowhere(asked);
+                } else {
+                    desk.stoodBefore(asked, roster.number(asked.standsAt()));
+                }
+            });
+        }
+
+        @Override
+        public void request(long line, Request request) throws InterruptedException {
+            turn(() -> {
+                switch (request.method()) {
+                    case "CANCEL" -> desk.withdrawn(line, request);
+                    case "BYE" -> desk.released(line, request);
+                    default -> desk.acknowledged(request.callId());
+                }
+            });
+        }
+
+        @Override
+        public void releaseHeard(String tag) throws InterruptedException {
+            turn(() -> desk.releaseHeard(tag));
+        }
+
+        @Override
+        public void over(long line) throws InterruptedException {
+            turn(() -> desk.lineOver(line));
+        }
+
+        @Override
+        public boolean ready() {
+            return ready;
+        }
+    };
+
+    private final SwitchLines.Heard fromSwitches = new SwitchLines.Heard() {
+        @Override
+        public void started(long target, long connection, String tag, String description) {
+            desk.started(target, connection, tag, description);
+        }
+
+        @Override
+        public void ended(long target, long connection, String tag, int cause, String note, float[] report) {
+            desk.ended(target, connection, tag, cause, note, report);
+        }
+
+        @Override
+        public void load(long target, float[] report) {
+            desk.load(target, report);
+        }
+
+        @Override
+        public void connectionOver(long target, long connection, boolean everUp) {
+            desk.connectionOver(target, connection, everUp);
+        }
+
+        @Override
+        public void processOver(long target) {
+            desk.switchOver(target, null);
+        }
+    };
+
+    private final Journal.Heard fromJournal = new Journal.Heard() {
+        @Override
+        public void event(ListEvent event) throws InterruptedException {
+            turn(() -> roster.take(event, wheel.now()));
+        }
+
+        @Override
+        public void broken(String why) {
+            drops.count("journal: " + (why.length() <= 40 ? why : why.substring(0, 40)));
+        }
+    };
+
+    private final Outward outward = new Outward() {
+        @Override
+        public boolean toCaller(long line, byte[] message) {
+            return callers.send(line, message);
+        }
+
+        @Override
+        public long anyLine() {
+            return callers.any();
+        }
+
+        @Override
+        public void settled(long line) {
+            callers.settled(line);
+        }
+
+        @Override
+        public void drop(long line, String why) {
+            callers.drop(line, why);
+        }
+
+        @Override
+        public long start(long target, String tag, String skill, long leftMs, String key, String description) {
+            return switches.start(target, tag, skill, leftMs, key, description);
+        }
+
+        @Override
+        public void finish(long target, long connection, String tag, int cause) {
+            switches.finish(target, connection, tag, cause);
+        }
+
+        @Override
+        public void finished(long target, long connection, String tag) {
+            switches.finished(target, connection, tag);
+        }
+
+        @Override
+        public void note(int peer, byte[] note) {
+            if (peers != null) {
+                peers.send(peer, note);
+            }
+        }
+
+        @Override
+        public void log(String kind, String line) {
+            log.line(kind, line);
+        }
+    };
+
+    /** What the platform names in the environment; the address in the file is the one that counts. */
+    public static Path placed() throws IOException {
+        String file = System.getenv("ROUTER_CONFIG");
+        if (file == null || file.isBlank()) {
+            throw new IOException("ROUTER_CONFIG is not set");
+        }
+        return Path.of(file);
+    }
+
+    InetSocketAddress listens() {
+        return new InetSocketAddress(start.listen().getAddress(), port);
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -0,0 +1,267 @@
+package martenslip.platform.caller;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import martenslip.control.Moment;
+import martenslip.platform.desk.Replies;
+import martenslip.platform.desk.SetUp;
+import martenslip.platform.desk.Terms;
+import martenslip.sip.message.Message;
+import martenslip.sip.message.Parsed;
+import martenslip.sip.message.Parser;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.transport.Bounds;
+import martenslip.sip.transport.Connection;
+import martenslip.sip.transport.Drops;
+import martenslip.sip.transport.Framer;
+import martenslip.sip.transport.Writers;
+
+/**
+ * The callers' lines: accepts, cuts, reads, refuses what is unfit by itself, hands the rest up. What one line brings
+ * is read by its own thread, and waits there where the deciding thread has no room.
+ */
+public final class Callers implements AutoCloseable {
+    /** Greatest message of the platform, and room for a set-up of the usual size. */
+    private static final int MOST_BYTES = 16 * 1024;
+    private static final int FIRST_BYTES = 1024;
+    private static final int STACK = 128 * 1024;
+    private static final int BACKLOG = 512;
+    /** Wrong messages that are answered on one line; it is ended at the next. */
+    private static final int MOST_WRONG = 3;
+    /** Set-ups of one line that may be open at a time; at more its reader refuses. */
+    private static final int MOST_OPEN = 256;
+
+    /** Takes what is fit; called by reading threads and may make them wait. */
+    public interface Heard {
+        void setUp(SetUp asked) throws InterruptedException;
+
+        void request(long line, Request request) throws InterruptedException;
+
+        void releaseHeard(String tag) throws InterruptedException;
+
+        void over(long line) throws InterruptedException;
+
+        /** Whether a test passes now. */
+        boolean ready();
+    }
+
+    private static final class Line {
+        final Connection connection;
+        final AtomicInteger open = new AtomicInteger();
+        volatile long heardAt;
+        volatile boolean good;
+        int wrong;
+
+        Line(Connection connection) {
+            this.connection = connection;
+            heardAt = System.nanoTime();
+        }
+    }
+
+    private final Bounds bounds;
+    private final Writers writers;
+    private final Heard heard;
+    private final Drops drops;
+    private final Fit fit;
+    private final Map<Long, Line> lines = new ConcurrentHashMap<>();
+    private final ServerSocket listener = new ServerSocket();
+    private volatile boolean closing;
+    private long numbers;
+
+    public Callers(Terms terms, Bounds bounds, Writers writers, Drops drops, Heard heard) throws IOException {
+        this.bounds = bounds;
+        this.writers = writers;
+        this.heard = heard;
+        this.drops = drops;
+        fit = new Fit(terms);
+    }
+
+    /** Begins to listen; the port that was taken is returned. */
+    public int open(InetSocketAddress at) throws IOException {
+        listener.setReuseAddress(true);
+        listener.bind(at, BACKLOG);
+        Thread accepting = new Thread(null, this::accept, "accept", STACK);
+        accepting.setDaemon(true);
+        accepting.start();
+        return listener.getLocalPort();
+    }
+
+    public int count() {
+        return lines.size();
+    }
+
+    public boolean send(long line, byte[] message) {
+        Line to = lines.get(line);
+        return to != null && to.connection.send(message);
+    }
+
+    /** The line that was heard last of those that have brought something fit, or 0. */
+    public long any() {
+        Line last = null;
+        for (Line one : lines.values()) {
+            if (one.good && (last == null || last.heardAt - one.heardAt < 0)) {
+                last = one;
+            }
+        }
+        return last == null ? 0 : last.connection.number();
+    }
+
+    public void settled(long line) {
+        Line one = lines.get(line);
+        if (one != null) {
+            one.open.decrementAndGet();
+        }
+    }
+
+    public void drop(long line, String why) {
+        Line one = lines.get(line);
+        if (one != null) {
+            drops.count(why);
+            one.connection.close(why);
+        }
+    }
+
+    private void accept() {
+        while (!closing) {
+            try {
+                Socket socket = listener.accept();
+                if (lines.size() >= bounds.connections() && !makeRoom()) {
+                    drops.count("too many lines");
+                    socket.close();
+                    continue;
+                }
+                socket.setTcpNoDelay(true);
+                Connection connection = new Connection(++numbers, socket,
+                        (InetSocketAddress) socket.getRemoteSocketAddress(), true, bounds, events,
+                        new Framer(MOST_BYTES, FIRST_BYTES, true), writers);
+                lines.put(connection.number(), new Line(connection));
+                connection.start("line");
+            } catch (IOException e) {
+                if (listener.isClosed()) {
+                    return;
+                }
+                drops.count("accept fault");
+            } catch (OutOfMemoryError e) {
+                // No thread to be had for one more line; those that are there go on.
+                drops.count("no thread for a line");
+            }
+        }
+    }
+
+    /** Ends the line that has been quiet longest of those that owe nothing, first of those that never said a thing. */
+    private boolean makeRoom() {
+        Line worst = null;
+        for (Line one : lines.values()) {
+            if (one.open.get() <= 0 && (worst == null || worst.good && !one.good
+                    || worst.good == one.good && one.heardAt - worst.heardAt < 0)) {
+                worst = one;
+            }
+        }
+        if (worst == null) {
+            return false;
+        }
+        drops.count("quiet line ended for a new one");
+        worst.connection.close("room for others");
+        return true;
+    }
+
+    private final Connection.Events events = new Connection.Events() {
+        @Override
+        public void whole(Connection connection, byte[] message) throws InterruptedException {
+            Line line = lines.get(connection.number());
+            if (line != null) {
+                line.heardAt = System.nanoTime();
+                take(line, message);
+            }
+        }
+
+        @Override
+        public void ended(Connection connection, String why) {
+            lines.remove(connection.number());
+            drops.count("line over: " + kind(why));
+            try {
+                heard.over(connection.number());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    };
+
+    /** Reasons are counted by kind, or texts of the system would fill the table. */
+    private static String kind(String why) {
+        return why.length() <= 40 ? why : why.substring(0, 40);
+    }
+
+    private void take(Line line, byte[] bytes) throws InterruptedException {
+        Parsed parsed = Parser.lean(bytes, bytes.length);
+        Message message = parsed.message();
+        if (!parsed.good()) {
+            wrong(line, parsed.answerable() ? (Request) message : null, parsed.fault());
+            return;
+        }
+        long number = line.connection.number();
+        if (message instanceof Response response) {
+            if (response.headers().first("CSeq").endsWith("BYE")) {
+                heard.releaseHeard(response.callId());
+            }
+            return;
+        }
+        Request request = (Request) message;
+        switch (request.method()) {
+            case "INVITE" -> setUp(line, request);
+            case "ACK", "CANCEL", "BYE" -> heard.request(number, request);
+            case "OPTIONS" -> {
+                line.good = true;
+                boolean ready = heard.ready();
+                line.connection.send(Replies.plain(request, ready ? 200 : 503, ready ? "OK" : "Not Ready"));
+            }
+            default -> wrong(line, request, "no such method");
+        }
+    }
+
+    private void setUp(Line line, Request invite) throws InterruptedException {
+        SetUp asked;
+        try {
+            asked = fit.setUp(line.connection.number(), invite, new Moment(System.nanoTime()));
+        } catch (Fit.Unfit e) {
+            wrong(line, invite, e.getMessage());
+            return;
+        }
+        if (line.open.incrementAndGet() > MOST_OPEN) {
+            line.open.decrementAndGet();
+            drops.count("too many set-ups open on a line");
+            line.connection.send(Replies.plain(invite, 503, "Too Many Open"));
+            return;
+        }
+        line.good = true;
+        heard.setUp(asked);
+    }
+
+    private void wrong(Line line, Request request, String why) {
+        drops.count("wrong: " + kind(why));
+        if (request == null || ++line.wrong > MOST_WRONG) {
+            line.connection.close(why);
+            return;
+        }
+        line.connection.send(Replies.plain(request, 400, why));
+    }
+
+    /** Ends the listener; lines stay until {@link #close}. */
+    public void noMore() throws IOException {
+        listener.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        closing = true;
+        listener.close();
+        lines.values().forEach(line -> line.connection.finish("closing",
+                martenslip.control.Span.ofMillis(200)));
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -0,0 +1,501 @@
+package martenslip.platform.desk;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import martenslip.control.Blame;
+import martenslip.control.Cause;
+import martenslip.control.Contact;
+import martenslip.control.Controller;
+import martenslip.control.Moment;
+import martenslip.control.Orders;
+import martenslip.control.RingEnd;
+import martenslip.control.Span;
+import martenslip.roll.LastWord;
+import martenslip.sip.message.Request;
+import martenslip.wheel.Wheel;
+
+/**
+ * The contacts of one controller on the platform: what arrives becomes news for the module, what the module orders
+ * becomes messages. It decides nothing. One thread, time of its wheel, so it runs on driven time too.
+ *
+ * <p>An order that fails at once, and the end of a ring that was called off, become further news and never reach back
+ * into a module that is amid another.
+ */
+public final class Desk implements Orders {
+    /** How often releases are said again to callers who were not heard to take them, and how often at most. */
+    private static final Span AGAIN = Span.ofMillis(400);
+    private static final int MOST_SAID = 6;
+    private static final int MOST_RELEASES = 4096;
+    private static final float[] NO_REPORT = {};
+
+    /** A release that a caller has not been heard to take. */
+    private static final class Release {
+        final String tag;
+        final byte[] message;
+        long line;
+        int said;
+
+        Release(String tag, byte[] message, long line) {
+            this.tag = tag;
+            this.message = message;
+            this.line = line;
+        }
+    }
+
+    private final Wheel wheel;
+    private final Terms terms;
+    private final Outward out;
+    private final Map<String, Taken> byTag = new HashMap<>();
+    private final Map<Long, Taken> byId = new LinkedHashMap<>();
+    private final Map<Long, Taken> ringing = new LinkedHashMap<>();
+    private final Map<String, Taken> standing = new LinkedHashMap<>();
+    private final Map<String, Release> releases = new LinkedHashMap<>();
+    private final ArrayDeque<Consumer<Controller>> news = new ArrayDeque<>();
+    private final Counts counts = new Counts();
+    private Controller module;
+    private boolean amid;
+    private boolean closing;
+    private long ids;
+    private int open;
+
+    public Desk(Wheel wheel, Terms terms, Outward out) {
+        this.wheel = wheel;
+        this.terms = terms;
+        this.out = out;
+    }
+
+    /** The module that was made with this desk as its orders. */
+    public void module(Controller made) {
+        module = made;
+    }
+
+    public Counts counts() {
+        return counts;
+    }
+
+    /** Contacts without a final answer. */
+    public int open() {
+        return open;
+    }
+
+    public int standing() {
+        return standing.size();
+    }
+
+    public int unheardReleases() {
+        return releases.size();
+    }
+
+    /** From now on what comes is refused; what is open is answered in its own time. */
+    public void closing() {
+        closing = true;
+    }
+
+    /** Tells the module, and then what its orders have brought about, one thing at a time. */
+    public void tell(Consumer<Controller> what) {
+        news.add(what);
+        if (amid) {
+            return;
+        }
+        amid = true;
+        try {
+            for (Consumer<Controller> next = news.poll(); next != null; next = news.poll()) {
+                try {
+                    next.accept(module);
+                } catch (RuntimeException e) {
+                    // It costs this piece of news: contacts it left open have their last word here.
+                    out.log("fault", "the module: " + e);
+                }
+            }
+        } finally {
+            amid = false;
+        }
+    }
+
+    // ---- what callers say
+
+    public void setUp(SetUp asked) {
+        Taken same = byTag.get(asked.tag());
+        if (asked.standsAt() == null && same != null && same.open && same.line == asked.line()) {
+            // Which of the two its caller means can't be told, and neither may be answered as good.
+            out.drop(asked.line(), "two set-ups under one id");
+            return;
+        }
+        if (asked.standsAt() == null && (same != null || closing || open >= terms.mostOpen())) {
+            counts.refusedUnseen++;
+            out.settled(asked.line());
+            out.toCaller(asked.line(), same != null ? Replies.plain(asked.invite(), 482, "Loop Detected")
+                    : Replies.deferred(asked.invite(), Span.ZERO));
+            return;
+        }
+        Taken one = new Taken(++ids, asked);
+        byTag.put(one.tag, one);
+        byId.put(one.id, one);
+        open++;
+        counts.taken++;
+        Moment now = wheel.now();
+        Span left = asked.patience().minus(now.since(asked.heardAt()).least(Span.ZERO));
+        one.lastWord = wheel.at(LastWord.of(now, left.plus(terms.answerSlack())), () -> lastWord(one));
+        Contact contact = new Contact(one.id, asked.skill(), asked.dialled(), asked.destination(), asked.hint(),
+                asked.width(), left.least(Span.ZERO), false, asked.transit(), asked.again());
+        tell(to -> to.offered(wheel.now(), contact));
+    }
+
+    /** A contact that stands already at a switch, as its caller says; no answer is expected. */
+    public void stoodBefore(SetUp asked, long target) {
+        out.settled(asked.line());
+        if (byTag.containsKey(asked.tag())) {
+            return;
+        }
+        Taken one = new Taken(++ids, asked);
+        one.asked = null;
+        one.open = false;
+        one.stands = true;
+        one.acknowledged = true;
+        one.stoodAt = wheel.now();
+        one.ring = new Taken.Ring(-1, target, 0, wheel.now());
+        byTag.put(one.tag, one);
+        standing.put(one.tag, one);
+        counts.inherited++;
+    }
+
+    /** One that names a switch that is nowhere: what it named is over. */
+    public void stoodNowhere(SetUp asked) {
+        out.settled(asked.line());
+        if (!byTag.containsKey(asked.tag())) {
+            release(asked.tag(), asked.key(), Ended.CUT, asked.line());
+        }
+    }
+
+    public void withdrawn(long line, Request cancel) {
+        Taken one = byTag.get(cancel.callId());
+        if (one == null || one.line != line) {
+            out.toCaller(line, Replies.plain(cancel, 481, "Call/Transaction Does Not Exist"));
+            return;
+        }
+        out.toCaller(line, Replies.plain(cancel, 200, "OK"));
+        if (one.open) {
+            out.toCaller(line, Replies.plain(one.asked.invite(), 487, "Request Terminated"));
+            callerGone(one);
+        }
+    }
+
+    private void callerGone(Taken one) {
+        counts.callerGone++;
+        closed(one);
+        tell(to -> to.callerGone(wheel.now(), one.id));
+    }
+
+    public void released(long line, Request bye) {
+        Taken one = standing.get(bye.callId());
+        Taken early = byTag.get(bye.callId());
+        if (one == null && (early == null || !early.open || early.line != line)) {
+            out.toCaller(line, Replies.plain(bye, 481, "Call/Transaction Does Not Exist"));
+            return;
+        }
+        out.toCaller(line, Replies.plain(bye, 200, "OK"));
+        if (one != null) {
+            out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
+            standingOver(one, Cause.CALLED_OFF, NO_REPORT);
+        } else {
+            callerGone(early);
+        }
+    }
+
+    /** The caller has the good answer. */
+    public void acknowledged(String tag) {
+        Taken one = standing.get(tag);
+        if (one != null) {
+            one.acknowledged = true;
+        }
+    }
+
+    /** The caller has taken a release, or knows nothing of it. */
+    public void releaseHeard(String tag) {
+        releases.remove(tag);
+    }
+
+    public void lineOver(long line) {
+        for (Taken one : List.copyOf(byId.values())) {
+            if (one.open && one.line == line) {
+                callerGone(one);
+            }
+        }
+        List<Taken> unsure = new ArrayList<>();
+        for (Taken one : standing.values()) {
+            if (!one.acknowledged && one.line == line) {
+                unsure.add(one);
+            }
+        }
+        // Its good answer may not have come through, and nobody else would ever release it.
+        for (Taken one : unsure) {
+            out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
+            release(one, Ended.CUT);
+            standingOver(one, Cause.CALLED_OFF, NO_REPORT);
+        }
+    }
+
+    // ---- what switches say
+
+    public void started(long target, long connection, String tag, String description) {
+        Taken one = byTag.get(tag);
+        if (one == null || one.stands || one.ring == null || one.ring.target != target) {
+            return;
+        }
+        if (description == null) {
+            out.finish(target, one.ring.connection, tag, Ended.NORMAL);
+            ringOver(one, Cause.CUT, Blame.NONE, NO_REPORT);
+            return;
+        }
+        if (!one.open) {
+            out.finish(target, one.ring.connection, tag, Ended.NORMAL);
+            ringOver(one, Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
+            return;
+        }
+        Request invite = one.asked.invite();
+        int number = one.ring.number;
+        Span took = wheel.now().since(one.ring.begun);
+        one.ring.limit.cancel();
+        ringing.remove(one.id);
+        closed(one);
+        one.stands = true;
+        one.stoodAt = wheel.now();
+        one.asked = null;
+        standing.put(tag, one);
+        counts.stood++;
+        boolean said = out.toCaller(one.line, Replies.stands(invite, description.getBytes(StandardCharsets.UTF_8)));
+        tell(to -> to.stands(wheel.now(), one.id, number, target, took));
+        if (!said) {
+            lineOver(one.line);
+        }
+    }
+
+    public void ended(long target, long connection, String tag, int cause, String note, float[] report) {
+        out.finished(target, connection, tag);
+        Taken one = byTag.get(tag);
+        if (one == null || one.ring == null || one.ring.target != target) {
+            return;
+        }
+        if (one.stands) {
+            release(one, cause == Ended.NORMAL ? Ended.NORMAL : Ended.CUT);
+            standingOver(one, Ended.ofStanding(cause), report);
+        } else {
+            Ended end = Ended.ofRing(cause, note);
+            ringOver(one, end.cause(), end.blame(), report);
+        }
+    }
+
+    public void load(long target, float[] report) {
+        tell(to -> to.reported(wheel.now(), target, true, Span.ZERO, report));
+    }
+
+    /** A connection is over; the rings that went by it are given up, what stands is not touched. */
+    public void connectionOver(long target, long connection, boolean everUp) {
+        for (Taken one : List.copyOf(ringing.values())) {
+            if (one.ring.connection == connection) {
+                ringOver(one, everUp ? Cause.CUT : Cause.UNREACHABLE, Blame.NONE, NO_REPORT);
+            }
+        }
+    }
+
+    /** The process behind a switch has ended: what stood there before a moment is over, and no release will come. */
+    public void switchOver(long target, Moment before) {
+        for (Taken one : List.copyOf(standing.values())) {
+            if (one.ring.target == target && (before == null || one.stoodAt.before(before))) {
+                release(one, Ended.CUT);
+                standingOver(one, Cause.CUT, NO_REPORT);
+            }
+        }
+    }
+
+    // ---- ends
+
+    private void closed(Taken one) {
+        one.open = false;
+        open--;
+        one.lastWord.cancel();
+        byId.remove(one.id);
+        out.settled(one.line);
+        if (one.ring == null) {
+            byTag.remove(one.tag);
+        }
+    }
+
+    private void standingOver(Taken one, Cause cause, float[] report) {
+        standing.remove(one.tag);
+        byTag.remove(one.tag);
+        if (one.ring.number < 0) {
+            // The module never knew it: the report still tells of circuits.
+            if (report.length > 0) {
+                load(one.ring.target, report);
+            }
+            return;
+        }
+        Span took = wheel.now().since(one.ring.begun);
+        RingEnd end = new RingEnd(one.id, one.ring.number, one.ring.target, cause, Blame.NONE, took, true, report);
+        tell(to -> to.ringEnded(wheel.now(), end));
+    }
+
+    private void ringOver(Taken one, Cause cause, Blame blame, float[] report) {
+        Taken.Ring ring = one.ring;
+        ring.limit.cancel();
+        ringing.remove(one.id);
+        one.ring = null;
+        if (!one.open) {
+            byTag.remove(one.tag);
+        }
+        counts.ended(cause);
+        Span took = wheel.now().since(ring.begun);
+        tell(to -> to.ringEnded(wheel.now(), new RingEnd(one.id, ring.number, ring.target, cause, blame, took,
+                !one.open, report)));
+    }
+
+    private void lastWord(Taken one) {
+        if (!one.open) {
+            return;
+        }
+        out.log("last-word", "the module left a contact without an answer");
+        out.toCaller(one.line, Replies.plain(one.asked.invite(), 500, "Server Internal Error"));
+        callerGone(one);
+    }
+
+    private void release(Taken one, int cause) {
+        release(one.tag, one.key, cause, one.line);
+    }
+
+    private void release(String tag, String key, int cause, long line) {
+        if (releases.size() >= MOST_RELEASES) {
+            out.log("releases", "too many releases unheard, the oldest is dropped");
+            releases.remove(releases.keySet().iterator().next());
+        }
+        Release one = new Release(tag, Replies.release(tag, key, cause), line);
+        releases.put(tag, one);
+        say(one);
+    }
+
+    private void say(Release one) {
+        if (releases.get(one.tag) != one) {
+            return;
+        }
+        boolean own = one.said == 0 && out.toCaller(one.line, one.message);
+        if (!own) {
+            long other = out.anyLine();
+            if (other != 0) {
+                out.toCaller(other, one.message);
+            } else {
+                one.said--;
+            }
+        }
+        one.said++;
+        if (one.said >= MOST_SAID) {
+            releases.remove(one.tag);
+            return;
+        }
+        wheel.after(AGAIN, () -> say(one));
+    }
+
+    // ---- what the module orders
+
+    @Override
+    public void ring(long contact, long target, Span limit) {
+        Taken one = byId.get(contact);
+        if (one == null || one.ring != null) {
+            out.log("fault", "a ring for a contact that is over or rings");
+            return;
+        }
+        int number = one.rings++;
+        counts.rings++;
+        SetUp asked = one.asked;
+        long connection = out.start(target, one.tag, terms.skills().get(asked.skill()), limit.ns() / 1_000_000,
+                one.key, asked.description());
+        Taken.Ring ring = new Taken.Ring(number, target, connection, wheel.now());
+        one.ring = ring;
+        ringing.put(one.id, one);
+        ring.limit = wheel.after(limit, () -> {
+            if (one.ring == ring) {
+                out.finish(target, connection, one.tag, Ended.NORMAL);
+                ringOver(one, Cause.TIMED_OUT, Blame.NONE, NO_REPORT);
+            }
+        });
+        if (connection == 0) {
+            news.add(to -> {
+                if (one.ring == ring) {
+                    ringOver(one, Cause.UNREACHABLE, Blame.NONE, NO_REPORT);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void callOff(long contact, int number) {
+        Taken one = ringing.get(contact);
+        if (one == null || one.ring.number != number) {
+            return;
+        }
+        Taken.Ring ring = one.ring;
+        out.finish(ring.target, ring.connection, one.tag, Ended.NORMAL);
+        // Called within the module: how it ended is told after, when it is known whether the contact is over.
+        news.add(to -> {
+            if (one.ring == ring) {
+                ringOver(one, Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
+            }
+        });
+    }
+
+    @Override
+    public void defer(long contact, Span comeBack) {
+        Taken one = byId.get(contact);
+        if (one != null) {
+            counts.deferred++;
+            out.toCaller(one.line, Replies.deferred(one.asked.invite(), comeBack));
+            closed(one);
+        }
+    }
+
+    @Override
+    public void abandon(long contact) {
+        Taken one = byId.get(contact);
+        if (one != null) {
+            counts.abandoned++;
+            out.toCaller(one.line, Replies.plain(one.asked.invite(), 500, "Server Internal Error"));
+            closed(one);
+        }
+    }
+
+    @Override
+    public void clock(Span delay, long token) {
+        wheel.after(delay, () -> tell(to -> to.clockRung(wheel.now(), token)));
+    }
+
+    @Override
+    public void probe(long target) {
+        out.log("probe", "probes are not allowed on this platform");
+    }
+
+    @Override
+    public void note(int peer, byte[] note) {
+        out.note(peer, note);
+    }
+
+    @Override
+    public void watchList(boolean on) {
+        // The journal service tells unasked; there is nothing to subscribe to.
+    }
+
+    @Override
+    public void log(String line) {
+        out.log("module", line);
+    }
+
+    /** For checks: contacts that this desk still knows. */
+    public Collection<String> known() {
+        return List.copyOf(byTag.keySet());
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/platform/peer/Peers.java
@@ -0,0 +1,84 @@
+package martenslip.platform.peer;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import martenslip.control.Orders;
+import martenslip.sip.transport.Drops;
+
+/** Notes between controllers, a datagram each; they may be late or lost. Only listed senders are heard. */
+public final class Peers implements AutoCloseable {
+    public static final int MOST_BYTES = 256;
+    private static final int STACK = 128 * 1024;
+
+    /** Called by the reading thread; says no where there is no room, and the note is lost. */
+    public interface Heard {
+        boolean note(int peer, byte[] note);
+    }
+
+    private final DatagramSocket socket;
+    private final List<InetSocketAddress> peers;
+    private final InetSocketAddress all;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+    private final int own;
+    private final Drops drops;
+    private final Heard heard;
+
+    public Peers(InetSocketAddress at, List<InetSocketAddress> peers, InetSocketAddress all, int own, Drops drops,
+                 Heard heard) throws IOException {
+        this.peers = peers;
+        this.all = all;
+        this.own = own;
+        this.drops = drops;
+        this.heard = heard;
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.put(peers.get(i), i);
+        }
+        socket = new DatagramSocket(at);
+        Thread reading = new Thread(null, this::read, "peers", STACK);
+        reading.setDaemon(true);
+        reading.start();
+    }
+
+    /** Any thread; a note that is too long is not sent. */
+    public void send(int peer, byte[] note) {
+        InetSocketAddress to = peer == Orders.ALL_PEERS ? all : peer >= 0 && peer < peers.size() ? peers.get(peer) : null;
+        if (to == null || note.length > MOST_BYTES || note.length == 0) {
+            drops.count("note not sent");
+            return;
+        }
+        try {
+            socket.send(new DatagramPacket(note, note.length, to));
+        } catch (IOException e) {
+            drops.count("note not sent");
+        }
+    }
+
+    private void read() {
+        byte[] room = new byte[MOST_BYTES + 1];
+        while (!socket.isClosed()) {
+            try {
+                DatagramPacket packet = new DatagramPacket(room, room.length);
+                socket.receive(packet);
+                Integer from = numbers.get(packet.getSocketAddress());
+                if (from == null || from == own || packet.getLength() > MOST_BYTES) {
+                    drops.count("note of a stranger, of oneself or too long");
+                } else if (!heard.note(from, Arrays.copyOf(room, packet.getLength()))) {
+                    drops.count("note without room");
+                }
+            } catch (IOException | RuntimeException e) {
+                drops.count("note read fault");
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -0,0 +1,336 @@
+package martenslip.platform.switchline;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.sip.transport.Bounds;
+import martenslip.sip.transport.Connection;
+import martenslip.sip.transport.Drops;
+import martenslip.sip.transport.Writers;
+import martenslip.wheel.Wheel;
+
+/**
+ * Connections to the switches: so many to each that a spoilt one takes only a part down, opened at once when a switch
+ * is listed and again after each loss, with bounded pauses. All state belongs to the deciding thread; reading threads
+ * hand in what they read through {@link Turn}.
+ *
+ * <p>States of a group are taken from one connection of a switch, as two that are read by two threads may overtake
+ * each other and an old state would stand for the new one; the last word of the others is kept for when that one ends.
+ */
+public final class SwitchLines {
+    /** Runs something on the deciding thread; waits for room. */
+    public interface Turn {
+        void run(Runnable what) throws InterruptedException;
+    }
+
+    /** What the lines tell; called on the deciding thread. */
+    public interface Heard {
+        void started(long target, long connection, String tag, String description);
+
+        void ended(long target, long connection, String tag, int cause, String note, float[] report);
+
+        void load(long target, float[] report);
+
+        void connectionOver(long target, long connection, boolean everUp);
+
+        /** The process there has ended: what stood on it is over. */
+        void processOver(long target);
+    }
+
+    private static final int EACH = 2;
+    private static final Span FIRST_PAUSE = Span.ofMillis(50);
+    private static final Span LONGEST_PAUSE = Span.ofMillis(1000);
+    /** A switch that has left the list and says nothing for so long has ended. */
+    private static final Span QUIET = Span.ofMillis(3000);
+    private static final Span LOOK = Span.ofMillis(500);
+    /** How long a release is kept for a further connection where nothing says that it was heard. */
+    private static final Span UNHEARD = Span.ofMillis(4000);
+    private static final int MOST_UNHEARD = 2048;
+
+    private static final class Link {
+        final Connection connection;
+        final Far far;
+        final Moment asked;
+        boolean up;
+        float[] lastLoad;
+
+        Link(Connection connection, Far far, Moment asked) {
+            this.connection = connection;
+            this.far = far;
+            this.asked = asked;
+        }
+    }
+
+    private record Unheard(int cause, Moment at) { }
+
+    private static final class Far {
+        final long id;
+        final InetSocketAddress at;
+        final List<Link> links = new ArrayList<>();
+        final Map<String, Unheard> releases = new LinkedHashMap<>();
+        boolean listed = true;
+        Span pause = Span.ZERO;
+        boolean waiting;
+        Moment heardAt;
+        int turn;
+
+        Far(long id, InetSocketAddress at, Moment now) {
+            this.id = id;
+            this.at = at;
+            heardAt = now;
+        }
+    }
+
+    private final Bounds bounds;
+    private final Writers writers;
+    private final Wheel wheel;
+    private final Turn turn;
+    private final Heard heard;
+    private final Load loads;
+    private final Drops drops;
+    private final Map<Long, Far> fars = new LinkedHashMap<>();
+    private final Map<Long, Link> links = new HashMap<>();
+    private long numbers;
+    private boolean closing;
+
+    public SwitchLines(Bounds bounds, Writers writers, Wheel wheel, Load loads, Drops drops, Turn turn, Heard heard) {
+        this.bounds = bounds;
+        this.writers = writers;
+        this.wheel = wheel;
+        this.loads = loads;
+        this.drops = drops;
+        this.turn = turn;
+        this.heard = heard;
+    }
+
+    /** A switch is on the list, or still is. */
+    public void listed(long id, InetSocketAddress at) {
+        Far far = fars.get(id);
+        if (far == null) {
+            far = new Far(id, at, wheel.now());
+            fars.put(id, far);
+        }
+        far.listed = true;
+        fill(far);
+    }
+
+    /** A switch has left the list: no further connection is opened to it, and it is forgotten once it is quiet. */
+    public void unlisted(long id) {
+        Far far = fars.get(id);
+        if (far != null && far.listed) {
+            far.listed = false;
+            far.heardAt = wheel.now();
+            look(far);
+        }
+    }
+
+    private void look(Far far) {
+        if (far.listed || fars.get(far.id) != far) {
+            return;
+        }
+        if (far.links.isEmpty() || wheel.now().since(far.heardAt).longerThan(QUIET)) {
+            fars.remove(far.id);
+            List.copyOf(far.links).forEach(link -> link.connection.close("the switch left the list"));
+            heard.processOver(far.id);
+            return;
+        }
+        wheel.after(LOOK, () -> look(far));
+    }
+
+    /** True once each listed switch has told the state of its group. */
+    public boolean allTold() {
+        return fars.values().stream().allMatch(far -> !far.listed
+                || far.links.stream().anyMatch(link -> link.lastLoad != null));
+    }
+
+    public int count() {
+        return links.size();
+    }
+
+    private void fill(Far far) {
+        while (far.listed && !closing && !far.waiting && far.links.size() < EACH) {
+            if (!open(far)) {
+                pause(far);
+            }
+        }
+    }
+
+    private boolean open(Far far) {
+        try {
+            Connection connection = new Connection(++numbers, new Socket(), far.at, false, bounds, events,
+                    new LineCutter(), writers);
+            Link link = new Link(connection, far, wheel.now());
+            links.put(connection.number(), link);
+            far.links.add(link);
+            connection.start("switch");
+            return true;
+        } catch (OutOfMemoryError e) {
+            drops.count("no thread for a switch");
+            return false;
+        }
+    }
+
+    /** One pause for all connections of a switch: it doubles until one of them comes up. */
+    private void pause(Far far) {
+        if (!far.waiting && far.listed && !closing) {
+            far.waiting = true;
+            wheel.after(far.pause, () -> {
+                far.waiting = false;
+                fill(far);
+            });
+            far.pause = far.pause.times(2).least(FIRST_PAUSE).most(LONGEST_PAUSE);
+        }
+    }
+
+    /** Sends a set-up; the number of the connection that takes it, or 0. */
+    public long start(long target, String tag, String skill, long leftMs, String key, String description) {
+        Far far = fars.get(target);
+        if (far == null) {
+            return 0;
+        }
+        byte[] line = SwitchSays.start(tag, skill, leftMs, key, description);
+        far.turn++;
+        for (boolean up : new boolean[] {true, false}) {
+            for (int i = 0; i < far.links.size(); i++) {
+                Link link = far.links.get((far.turn + i) % far.links.size());
+                if (link.up == up && link.connection.send(line)) {
+                    return link.connection.number();
+                }
+            }
+        }
+        return 0;
+    }
+
+    public void finish(long target, long connection, String tag, int cause) {
+        Far far = fars.get(target);
+        if (far == null) {
+            return;
+        }
+        if (far.releases.size() >= MOST_UNHEARD) {
+            far.releases.remove(far.releases.keySet().iterator().next());
+        }
+        far.releases.put(tag, new Unheard(cause, wheel.now()));
+        byte[] line = SwitchSays.finish(tag, cause);
+        Link own = links.get(connection);
+        if (own != null && own.connection.send(line)) {
+            return;
+        }
+        for (Link link : far.links) {
+            if (link.up && link.connection.send(line)) {
+                return;
+            }
+        }
+    }
+
+    public void finished(long target, long connection, String tag) {
+        Link link = links.get(connection);
+        if (link != null) {
+            link.connection.send(SwitchSays.finished(tag));
+        }
+    }
+
+    private final Connection.Events events = new Connection.Events() {
+        @Override
+        public void whole(Connection connection, byte[] line) throws InterruptedException {
+            SwitchSays says;
+            try {
+                says = SwitchSays.read(line);
+            } catch (IOException | RuntimeException e) {
+                drops.count("a switch's line that can't be read");
+                connection.close("unreadable line");
+                return;
+            }
+            turn.run(() -> take(connection.number(), says));
+        }
+
+        @Override
+        public void up(Connection connection) {
+            put(() -> opened(connection.number()));
+        }
+
+        @Override
+        public void ended(Connection connection, String why) {
+            drops.count("switch line over: " + (why.length() <= 40 ? why : why.substring(0, 40)));
+            put(() -> over(connection));
+        }
+
+        private void put(Runnable what) {
+            try {
+                turn.run(what);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    };
+
+    private void opened(long number) {
+        Link link = links.get(number);
+        if (link == null) {
+            return;
+        }
+        link.up = true;
+        link.far.pause = Span.ZERO;
+        link.far.heardAt = wheel.now();
+        link.far.releases.values().removeIf(one -> wheel.now().since(one.at).longerThan(UNHEARD));
+        link.far.releases.forEach((tag, one) -> link.connection.send(SwitchSays.finish(tag, one.cause)));
+    }
+
+    private void over(Connection connection) {
+        Link link = links.remove(connection.number());
+        if (link == null) {
+            return;
+        }
+        Far far = link.far;
+        boolean told = far.links.indexOf(link) == 0;
+        far.links.remove(link);
+        heard.connectionOver(far.id, connection.number(), connection.everUp());
+        if (connection.refused()) {
+            heard.processOver(far.id);
+        }
+        if (told && !far.links.isEmpty() && far.links.get(0).lastLoad != null) {
+            heard.load(far.id, far.links.get(0).lastLoad);
+        }
+        pause(far);
+    }
+
+    private void take(long number, SwitchSays says) {
+        Link link = links.get(number);
+        if (link == null) {
+            return;
+        }
+        Far far = link.far;
+        far.heardAt = wheel.now();
+        switch (says.verb()) {
+            case "STARTED" -> heard.started(far.id, number, says.tag(), says.description());
+            case "FINISH" -> heard.ended(far.id, number, says.tag(), says.cause(), says.note(),
+                    loads.read(says.load()));
+            case "FINISHED" -> far.releases.remove(says.tag());
+            case "LOAD" -> {
+                float[] report = loads.read(says.load());
+                link.lastLoad = report;
+                if (far.links.get(0) == link) {
+                    heard.load(far.id, report);
+                }
+            }
+            case "PENDING", "ECHOED" -> { }
+            default -> {
+                drops.count("a switch's line of an unknown type");
+                link.connection.close("unknown type");
+            }
+        }
+    }
+
+    public void close() {
+        closing = true;
+        for (Link link : List.copyOf(links.values())) {
+            link.connection.finish("closing", Span.ofMillis(100));
+        }
+    }
+}
--- a/src/main/java/martenslip/sip/message/Names.java
+++ b/src/main/java/martenslip/sip/message/Names.java
@@ -10,21 +10,23 @@
     /** Those that stand in nearly every message. */
     private static final String[] USUAL = {"Via", "From", "To", "Call-ID", "CSeq", "Contact", "Max-Forwards",
         "Content-Length", "Content-Type", "Record-Route", "Route", "Expires", "Reason", "Session-ID",
-        "Resource-Priority", "Event", "Subscription-State"};
+        "Resource-Priority", "Event", "Subscription-State", "Call-Kind", "Answer-Within", "Routing-Data"};
     private static final Map<String, String> KNOWN = new HashMap<>();
     /** Fields whose values may stand in one line, parted by commas; each becomes a field of its own. */
     private static final Set<String> LISTS = Set.of("Via", "Route", "Record-Route", "Contact", "Require",
             "Proxy-Require", "Supported", "Unsupported", "Allow", "Reason", "Resource-Priority");
     /** Fields of which a message has one at most (RFC 3261 7.3.1). */
     private static final Set<String> SINGLE = Set.of("From", "To", "Call-ID", "CSeq", "Max-Forwards",
-            "Content-Length", "Content-Type", "Expires", "Event", "Subscription-State");
+            "Content-Length", "Content-Type", "Expires", "Event", "Subscription-State", "Call-Kind", "Answer-Within",
+            "Routing-Data");
 
     static {
         for (String name : new String[] {"Via", "From", "To", "Call-ID", "CSeq", "Contact", "Max-Forwards", "Route",
             "Record-Route", "Require", "Proxy-Require", "Supported", "Unsupported", "Expires", "Retry-After",
             "Reason", "Resource-Priority", "Content-Length", "Content-Type", "Allow", "Event",
             "Subscription-State", "Session-ID", "User-Agent", "Subject", "Content-Encoding", "Allow-Events",
-            "Refer-To", "Referred-By", "Session-Expires", "Min-Expires", "Accept"}) {
+            "Refer-To", "Referred-By", "Session-Expires", "Min-Expires", "Accept", "Call-Kind", "Answer-Within", "Routing-Data",
+            "Come-Back-Ms"}) {
             KNOWN.put(name.toLowerCase(Locale.ROOT), name);
         }
         String[] compact = {"i", "Call-ID", "m", "Contact", "e", "Content-Encoding", "l", "Content-Length",
--- a/src/main/java/martenslip/sip/message/Parser.java
+++ b/src/main/java/martenslip/sip/message/Parser.java
@@ -13,6 +13,9 @@
     public static final int MOST_LINES = 128;
     public static final int MOST_LINE = 8 * 1024;
 
+    private static final List<String> ALL = List.of("Via", "From", "To", "Call-ID", "CSeq");
+    private static final List<String> LEAN = List.of("Call-ID", "CSeq");
+
     private final byte[] bytes;
     private final int end;
     private int at;
@@ -20,14 +23,22 @@
     private String fault;
     private final Headers headers = new Headers();
 
-    private Parser(byte[] bytes, int length) {
+    private final List<String> needed;
+
+    private Parser(byte[] bytes, int length, List<String> needed) {
         this.bytes = bytes;
         end = length;
+        this.needed = needed;
     }
 
     /** Reads a datagram: its body ends with it, whatever follows the stated length is dropped (18.3). */
     public static Parsed datagram(byte[] bytes, int length) {
-        return new Parser(bytes, length).read();
+        return new Parser(bytes, length, ALL).read();
+    }
+
+    /** For a stream between two machines that match messages by Call-ID and CSeq alone: nothing else is needed. */
+    public static Parsed lean(byte[] bytes, int length) {
+        return new Parser(bytes, length, LEAN).read();
     }
 
     private Parsed read() {
@@ -49,7 +60,7 @@
         fields();
         check(message, response);
         body(message);
-        boolean usable = headers.first("Via") != null && essential();
+        boolean usable = needed.stream().allMatch(name -> headers.first(name) != null);
         return new Parsed(usable ? message : null, status, fault);
     }
 
@@ -214,26 +225,19 @@
         }
     }
 
-    private boolean essential() {
-        for (String name : new String[] {"From", "To", "Call-ID", "CSeq"}) {
-            if (headers.first(name) == null) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private void check(Message message, boolean response) {
-        for (String name : new String[] {"Via", "From", "To", "Call-ID", "CSeq"}) {
+        for (String name : needed) {
             if (headers.first(name) == null) {
                 wrong(400, "no " + name);
                 return;
             }
         }
         try {
-            message.via();
-            message.from();
-            message.to();
+            if (needed == ALL) {
+                message.via();
+                message.from();
+                message.to();
+            }
             if (message.callId().isBlank()) {
                 wrong(400, "an empty Call-ID");
             }
--- a/src/main/java/martenslip/sip/transport/Bounds.java
+++ b/src/main/java/martenslip/sip/transport/Bounds.java
@@ -4,11 +4,16 @@
 
 /**
  * What sockets may take. At {@code connections} a new connection is closed at once; one is closed that brings
- * nothing for {@code idle}, that needs more than {@code whole} for one message from its first byte, or whose
+ * no whole message within {@code first} of its start or nothing for {@code idle}, that needs more than {@code whole} for one message from its first byte, or whose
  * peer leaves more than {@code unsent} bytes unread or reads none for {@code stuck}.
  */
-public record Bounds(int connections, Span idle, Span whole, int unsent, Span stuck, Span connect) {
+public record Bounds(int connections, Span first, Span idle, Span whole, int unsent, Span stuck, Span connect) {
     /** Starting values: a neighbour exchange needs one or two connections; ten minutes spare a keep-alive. */
     public static final Bounds USUAL = new Bounds(512, Span.ofMillis(600_000), Span.ofMillis(5_000), 1 << 20,
             Span.ofMillis(10_000), Span.ofMillis(500));
+
+    /** The first message may take as long as any other. */
+    public Bounds(int connections, Span idle, Span whole, int unsent, Span stuck, Span connect) {
+        this(connections, idle, idle, whole, unsent, stuck, connect);
+    }
 }
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -2,58 +2,97 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import martenslip.control.Span;
 
 /**
- * One TCP connection: a thread that reads and one that writes. Whoever notices its end closes it; the first
- * reason is the one told, once.
+ * One TCP connection: a thread that reads and one that writes, the latter its own or one of {@link Writers}. Whoever
+ * notices its end closes it; the first reason is the one told, once.
  */
-final class Connection {
-    interface Events {
+public final class Connection {
+    /** Called by the reading thread, the end by any. */
+    public interface Events {
         void whole(Connection connection, byte[] message) throws InterruptedException;
 
         void ended(Connection connection, String why);
+
+        /** One that was asked for has come up; with {@link Writers} only. */
+        default void up(Connection connection) {
+        }
     }
 
     private static final int STACK = 256 * 1024;
+    private static final int SMALL_STACK = 128 * 1024;
 
     final long number;
     private final InetSocketAddress peer;
     private final Bounds bounds;
     private final Events events;
     private final Socket socket;
+    private final Cutter cutter;
+    private final Writers writers;
     private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
     private int unsentBytes;
     private long writingSince;
     private boolean up;
     private boolean closed;
+    private boolean writing;
+    private boolean refused;
+    private long started;
+    private boolean saidOne;
+    private int timeout;
 
     Connection(long number, Socket socket, InetSocketAddress peer, boolean up, Bounds bounds, Events events) {
+        this(number, socket, peer, up, bounds, events, new Framer(), null);
+    }
+
+    /** With {@code writers} it has no writing thread of its own. */
+    public Connection(long number, Socket socket, InetSocketAddress peer, boolean up, Bounds bounds, Events events,
+                      Cutter cutter, Writers writers) {
         this.number = number;
         this.socket = socket;
         this.peer = peer;
         this.up = up;
         this.bounds = bounds;
         this.events = events;
+        this.cutter = cutter;
+        this.writers = writers;
+    }
+
+    public long number() {
+        return number;
     }
 
     Hop hop() {
         return new Hop(Hop.Kind.TCP, peer, number);
     }
 
-    synchronized boolean everUp() {
+    public synchronized boolean everUp() {
         return up;
     }
 
+    /** True where the other side had nobody listening: proof that nothing runs there. */
+    public synchronized boolean refused() {
+        return refused;
+    }
+
     int localPort() {
         return socket.getLocalPort();
     }
 
-    void start(String name) {
+    public void start(String name) {
+        if (writers != null) {
+            Thread only = new Thread(null, this::connectAndRead, name + "-" + number, SMALL_STACK);
+            only.setDaemon(true);
+            only.start();
+            return;
+        }
         // Asked before the writer runs: it may connect at once, and then begins to read by itself.
         boolean accepted = everUp();
         new Thread(null, this::write, name + "-out-" + number, STACK).start();
@@ -66,8 +105,88 @@
         new Thread(null, this::read, name + "-in-" + number, STACK).start();
     }
 
+    private void connectAndRead() {
+        try {
+            if (!everUp()) {
+                socket.connect(peer, (int) (bounds.connect().ns() / 1_000_000));
+                socket.setTcpNoDelay(true);
+                synchronized (this) {
+                    up = true;
+                    writeIfNeeded();
+                }
+                events.up(this);
+            }
+        } catch (IOException e) {
+            synchronized (this) {
+                refused = e instanceof ConnectException && !closed;
+            }
+            close(String.valueOf(e.getMessage()));
+            return;
+        }
+        read();
+    }
+
+    private void writeIfNeeded() {
+        if (up && !closed && !writing && !unsent.isEmpty()) {
+            writing = true;
+            writers.submit(this::writeAll);
+        }
+    }
+
+    /** All that is unsent, in one piece: a turn of the deciding thread says several things to one peer. */
+    private void writeAll() {
+        try {
+            for (byte[] next = all(); next != null; next = all()) {
+                socket.getOutputStream().write(next);
+                synchronized (this) {
+                    unsentBytes -= next.length;
+                    writingSince = 0;
+                }
+            }
+        } catch (IOException e) {
+            close(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private synchronized byte[] all() {
+        if (unsent.isEmpty() || closed) {
+            writing = false;
+            notifyAll();
+            return null;
+        }
+        writingSince = System.nanoTime();
+        if (unsent.size() == 1) {
+            return unsent.poll();
+        }
+        byte[] whole = new byte[unsentBytes];
+        int at = 0;
+        for (byte[] next = unsent.poll(); next != null; next = unsent.poll()) {
+            System.arraycopy(next, 0, whole, at, next.length);
+            at += next.length;
+        }
+        return whole;
+    }
+
+    /** Ends it once all that was queued is written, or after a bounded wait; the caller must be able to wait. */
+    public void finish(String why, Span atMost) {
+        long until = System.nanoTime() + atMost.ns();
+        try {
+            synchronized (this) {
+                for (long left = atMost.ns(); left > 0 && !closed && unsentBytes > 0; left = until - System.nanoTime()) {
+                    wait(Math.max(1, left / 1_000_000));
+                }
+            }
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            why = why + ", " + e.getMessage();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close(why);
+    }
+
     /** Queues a message; false where the connection is over, or now is as its peer doesn't read. */
-    boolean send(byte[] bytes) {
+    public boolean send(byte[] bytes) {
         String why = null;
         synchronized (this) {
             if (closed) {
@@ -81,7 +200,11 @@
             } else {
                 unsent.add(bytes);
                 unsentBytes += bytes.length;
-                notifyAll();
+                if (writers != null) {
+                    writeIfNeeded();
+                } else {
+                    notifyAll();
+                }
                 return true;
             }
         }
@@ -89,7 +212,7 @@
         return false;
     }
 
-    void close(String why) {
+    public void close(String why) {
         synchronized (this) {
             if (closed) {
                 return;
@@ -149,28 +272,29 @@
     }
 
     private void read() {
-        Framer framer = new Framer();
         long begun = 0;
+        started = System.nanoTime();
         try {
             InputStream in = socket.getInputStream();
             while (true) {
-                socket.setSoTimeout((int) Math.max(1, limit(framer, begun).ns() / 1_000_000));
-                byte[] room = framer.room();
-                int got = in.read(room, framer.at(), room.length - framer.at());
+                allow(begun);
+                byte[] room = cutter.room();
+                int got = in.read(room, cutter.at(), room.length - cutter.at());
                 if (got < 0) {
-                    close(framer.amid() ? "ended amid a message" : "ended by the peer");
+                    close(cutter.amid() ? "ended amid a message" : "ended by the peer");
                     return;
                 }
-                begun = framer.amid() ? begun : System.nanoTime();
-                framer.took(got);
-                for (byte[] whole = framer.next(); whole != null; whole = framer.next()) {
+                begun = cutter.amid() ? begun : System.nanoTime();
+                cutter.took(got);
+                for (byte[] whole : wholes()) {
                     events.whole(this, whole);
                     begun = System.nanoTime();
+                    saidOne = true;
                 }
             }
         } catch (SocketTimeoutException e) {
-            close(framer.amid() ? "a message took too long to arrive" : "idle");
-        } catch (IOException | Framer.Lost e) {
+            close(cutter.amid() ? "a message took too long to arrive" : saidOne ? "idle" : "no message came");
+        } catch (IOException | Cutter.Lost e) {
             close(String.valueOf(e.getMessage()));
         } catch (InterruptedException e) {
             close("stopped");
@@ -180,7 +304,30 @@
         }
     }
 
-    private Span limit(Framer framer, long begun) {
-        return framer.amid() ? bounds.whole().minus(new Span(System.nanoTime() - begun)) : bounds.idle();
+    /** All of what was read at once: nothing of it is handed up where its end shows that it was cut wrongly. */
+    private List<byte[]> wholes() throws Cutter.Lost {
+        byte[] one = cutter.next();
+        if (one == null) {
+            return List.of();
+        }
+        List<byte[]> all = new ArrayList<>(2);
+        for (; one != null; one = cutter.next()) {
+            all.add(one);
+        }
+        return all;
+    }
+
+    private void allow(long begun) throws IOException {
+        long now = System.nanoTime();
+        long left = cutter.amid() ? bounds.whole().ns() - (now - begun) : bounds.idle().ns();
+        if (!saidOne) {
+            left = Math.min(left, bounds.first().ns() - (now - started));
+        }
+        int ms = (int) Math.max(1, left / 1_000_000);
+        // Each setting is a call of the system; the time that is left changes little while messages come whole.
+        if (ms != timeout) {
+            timeout = ms;
+            socket.setSoTimeout(ms);
+        }
     }
 }
--- a/src/main/java/martenslip/sip/transport/Framer.java
+++ b/src/main/java/martenslip/sip/transport/Framer.java
@@ -7,59 +7,73 @@
  * Cuts a stream into messages by Content-Length (RFC 3261 18.3, 20.14). Several messages in one read and one in
  * many reads are all the same to it. Without a length, or past a bound, a stream has no further message ends.
  */
-final class Framer {
-    /** A stream that can't be cut any further. */
-    static final class Lost extends Exception {
-        private static final long serialVersionUID = 1L;
+public final class Framer implements Cutter {
+    private static final String VERSION = "SIP/2.0";
 
-        Lost(String what) {
-            super(what, null, false, false);
-        }
-    }
-
-    private byte[] held = new byte[4096];
+    private final int most;
+    private final boolean strict;
+    private byte[] held;
     private int length;
     private int looked;
     private int head = -1;
     private int body;
 
-    /** Room to read into; at least one byte. */
-    byte[] room() {
+    public Framer() {
+        this(Parser.MOST_BYTES, 4096, false);
+    }
+
+    /**
+     * With {@code strict} a stream is lost at the first start line that is none: what follows a body that was longer
+     * than its length says is then not waited for as if it were the next message.
+     */
+    public Framer(int most, int first, boolean strict) {
+        this.most = most;
+        this.strict = strict;
+        held = new byte[first];
+    }
+
+    @Override
+    public byte[] room() {
         if (length == held.length) {
-            held = Arrays.copyOf(held, Math.min(2 * held.length, Parser.MOST_BYTES + 4096));
+            held = Arrays.copyOf(held, Math.min(2 * held.length, most + 4096));
         }
         return held;
     }
 
-    int at() {
+    @Override
+    public int at() {
         return length;
     }
 
-    void took(int bytes) {
+    @Override
+    public void took(int bytes) {
         length += bytes;
     }
 
-    /** True while a message has begun and not ended. */
-    boolean amid() {
+    @Override
+    public boolean amid() {
         return length > 0;
     }
 
-    /** The next whole message, or null where more must be read. */
-    byte[] next() throws Lost {
+    @Override
+    public byte[] next() throws Lost {
         if (head < 0) {
             skipBlank();
             head = headEnd();
+            if (strict) {
+                startLine();
+            }
             if (head < 0) {
-                if (length >= Parser.MOST_BYTES) {
-                    throw new Lost("headers over " + Parser.MOST_BYTES + " bytes");
+                if (length >= most) {
+                    throw new Lost("headers over " + most + " bytes");
                 }
                 return null;
             }
             body = contentLength();
         }
         int whole = head + body;
-        if (whole > Parser.MOST_BYTES) {
-            throw new Lost("message over " + Parser.MOST_BYTES + " bytes");
+        if (whole > most) {
+            throw new Lost("message over " + most + " bytes");
         }
         if (length < whole) {
             return null;
@@ -85,6 +99,22 @@
         }
     }
 
+    /** What can be seen of the start line so far: a method or the version first, and the version at its end. */
+    private void startLine() throws Lost {
+        int end = 0;
+        while (end < length && held[end] != '\n') {
+            end++;
+        }
+        boolean whole = end < length;
+        String line = new String(held, 0, Math.min(end, most), java.nio.charset.StandardCharsets.ISO_8859_1).trim();
+        int blank = line.indexOf(' ');
+        String first = blank < 0 ? line : line.substring(0, blank);
+        boolean method = first.length() <= 16 && first.chars().allMatch(c -> c >= 'A' && c <= 'Z');
+        if (!method && !VERSION.startsWith(first) || whole && !first.equals(VERSION) && !line.endsWith(" " + VERSION)) {
+            throw new Lost("no start line");
+        }
+    }
+
     private int headEnd() {
         for (int i = Math.max(looked, 3); i < length; i++) {
             if (held[i] == '\n' && held[i - 1] == '\r' && held[i - 2] == '\n' && held[i - 3] == '\r') {
--- a/src/test/java/martenslip/ArchitectureTest.java
+++ b/src/test/java/martenslip/ArchitectureTest.java
@@ -30,6 +30,7 @@
                 .layer("provision").definedBy("martenslip.provision")
                 .layer("signal").definedBy("martenslip.signal")
                 .layer("exchange").definedBy("martenslip.exchange")
+                .layer("platform").definedBy("martenslip.platform..")
                 .layer("standin").definedBy("martenslip.standin")
                 .layer("proof").definedBy("martenslip.proof")
                 .layer("play").definedBy("martenslip.play")
@@ -39,8 +40,9 @@
                 .whereLayer("proof").mayOnlyBeAccessedByLayers("play", "cli")
                 .whereLayer("standin").mayOnlyBeAccessedByLayers("play", "cli")
                 .whereLayer("expect").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("platform").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("lookout").mayOnlyBeAccessedByLayers("exchange")
-                .whereLayer("roll").mayOnlyBeAccessedByLayers("exchange")
+                .whereLayer("roll").mayOnlyBeAccessedByLayers("exchange", "platform")
                 .whereLayer("exchange").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("module").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("drill").mayOnlyBeAccessedByLayers("cli")
@@ -72,6 +74,31 @@
                 .dependOnClassesThat(resideInAnyPackage("picocli..", "org.slf4j..")).check(all);
     }
 
+    @Test
+    public void theControllerInServiceLoadsOnlyItsJson() {
+        noClasses().that().resideInAPackage("martenslip.platform..").should().dependOnClassesThat(
+                not(resideInAnyPackage("martenslip..", "java..", "com.fasterxml.jackson.core.."))).check(all);
+        noClasses().that().resideInAPackage("martenslip.platform..").should().dependOnClassesThat(
+                resideInAnyPackage("martenslip", "martenslip.cli", "martenslip.provision", "martenslip.exchange",
+                        "martenslip.signal", "martenslip.sip.transaction", "martenslip.sip.dialog")).check(all);
+    }
+
+    /** The desk takes what the sockets' packages bring; none of these knows another, and the desk knows none. */
+    @Test
+    public void partsOfTheControllerInServiceMeetAtTheDesk() {
+        String[] parts = {"caller", "switchline", "journal", "peer"};
+        for (String part : parts) {
+            noClasses().that().resideInAPackage("martenslip.platform.desk").should().dependOnClassesThat(
+                    resideInAPackage("martenslip.platform." + part)).check(all);
+            for (String other : parts) {
+                if (!other.equals(part)) {
+                    noClasses().that().resideInAPackage("martenslip.platform." + part).should().dependOnClassesThat(
+                            resideInAPackage("martenslip.platform." + other)).check(all);
+                }
+            }
+        }
+    }
+
     @Test
     public void layersOfSipPointDown() {
         noClasses().that(resideInAPackage("martenslip.sip.message")).should().dependOnClassesThat(
@@ -86,7 +113,8 @@
     @Test
     public void timeEntersAtFewPlaces() {
         noClasses().that().resideInAnyPackage("martenslip", "martenslip.exchange", "martenslip.sip.transaction",
-                        "martenslip.sip.dialog", "martenslip.sip.message", "martenslip.wheel")
+                        "martenslip.sip.dialog", "martenslip.sip.message", "martenslip.wheel",
+                        "martenslip.platform.desk", "martenslip.platform.switchline", "martenslip.platform.json")
                 .and().haveNameNotMatching(".*\\.(Exchange|Crew|Planted|Post)(\\$.*)?")
                 .should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(all);
