Pulse: a switch's silence is asked about, and ends what stands there in time

Logs: the list named the machine gone 7 s after it fell silent, and SwitchLines.unlisted then began its 3 s of quiet anew. Set aside: a late list alone (it may take 14 s), a lost BYE (no unheard release in the counts).

Change: martenslip.pulse decides from silence when to ask (a further connection) and when what stands is over; the last word waits for the module's own (answer-slack is 5 ms here, so it came 2 ms before the module's); ready once each switch told its group, was connected for 150 ms without one, or can't be reached. Tests for desk, lines, Fit, loads, the configuration, the service between stand-ins, every order of one desk's events.

--- a/src/main/java/martenslip/cli/Main.java
+++ b/src/main/java/martenslip/cli/Main.java
@@ -39,7 +39,7 @@
             Path placed = Serve.placed();
             Serve serve;
             try {
-                serve = new Serve(placed, Logic::new);
+                serve = new Serve(placed, Logic::new, System.err);
             } catch (IOException | RuntimeException e) {
                 System.err.println("martenslip: " + placed + ": " + e.getMessage());
                 System.exit(2);
--- a/src/main/java/martenslip/platform/Log.java
+++ b/src/main/java/martenslip/platform/Log.java
@@ -1,10 +1,11 @@
 package martenslip.platform;
 
+import java.io.PrintStream;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * The log of a controller in service: a line on standard error, so many of a kind a second at most; how many were left
+ * The log of a controller in service: a line each, so many of a kind a second at most; how many were left
  * out is told with the next one. No logging library: its start and its memory are part of the day.
  */
 final class Log {
@@ -17,6 +18,12 @@
         private long leftOut;
     }
 
+    private final PrintStream out;
+
+    Log(PrintStream out) {
+        this.out = out;
+    }
+
     /** Kinds are words of the program, so their number is bounded. */
     private final Map<String, Kind> kinds = new HashMap<>();
 
@@ -33,7 +40,7 @@
         }
         one.written++;
         String plain = text.length() > 2000 ? text.substring(0, 2000) : text;
-        System.err.println(System.currentTimeMillis() + " " + kind + ": " + plain.replace('\n', ' ')
+        out.println(System.currentTimeMillis() + " " + kind + ": " + plain.replace('\n', ' ')
                 + (one.leftOut > 0 ? " (left out " + one.leftOut + ")" : ""));
         one.leftOut = 0;
     }
--- a/src/main/java/martenslip/platform/Roster.java
+++ b/src/main/java/martenslip/platform/Roster.java
@@ -28,13 +28,15 @@
     private final List<String> zones;
     /** What the clock of the program shows less what the Unix clock shows, at the start. */
     private final Span offset;
+    private final Log log;
     private final Map<String, Known> known = new LinkedHashMap<>();
     private long numbers;
 
-    Roster(Desk desk, SwitchLines lines, String zones, Moment now, long unixMs) {
+    Roster(Desk desk, SwitchLines lines, String zones, Moment now, long unixMs, Log log) {
         this.desk = desk;
         this.lines = lines;
         this.zones = Arrays.asList(zones.split(","));
+        this.log = log;
         offset = new Span(now.ns() - unixMs * 1_000_000);
     }
 
@@ -84,6 +86,8 @@
             if (before != null && entry.startedMs() > before.startedMs) {
                 restarted.put(one.number, started);
             }
+            log.line("list", entry.id() + " is switch " + one.number + ", number " + entry.number() + ", "
+                    + entry.state() + " at " + entry.at() + " since " + entry.startedMs());
             told.add(new SwitchLine(one.number, entry.number(), entry.state(), started,
                     Math.max(0, zones.indexOf(entry.zone()))));
             if (entry.state() == SwitchLine.State.GONE) {
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -1,6 +1,7 @@
 package martenslip.platform;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -35,13 +36,15 @@
     /** After SIGTERM set-ups come for 0.6 s; what comes later than this is refused. */
     private static final Span STILL_TAKEN = Span.ofMillis(750);
     private static final Span LAST_FOR_SURE = Span.ofMillis(1000);
+    /** Half of what the platform adds to every time limit on sockets. */
+    private static final Span ON_SOCKETS = Span.ofMillis(25);
     private static final Span LOOK = Span.ofMillis(50);
     private static final Span TELL = Span.ofMillis(5000);
     /** Parts of the descriptors: callers', and what files, the journal and the rest may need. */
     private static final double CALLERS_PART = 0.55;
 
     private final Path file;
-    private final Log log = new Log();
+    private final Log log;
     private final Drops drops = new Drops();
     private final Writers writers = new Writers("desk", 16);
     private final Post post = new Post("desk", INBOX);
@@ -58,8 +61,10 @@
     private Moment termAt;
     private int port;
 
-    public Serve(Path file, Maker maker) throws IOException {
+    /** The log goes to {@code out}; an exception names the path in the file and the reason. */
+    public Serve(Path file, Maker maker, PrintStream out) throws IOException {
         this.file = file;
+        log = new Log(out);
         start = Placement.read(file);
         Map<String, String> settings = start.settings();
         Terms terms = terms(settings);
@@ -76,7 +81,7 @@
                 fromSwitches);
         desk = new Desk(wheel, terms, outward);
         roster = new Roster(desk, switches, settings.getOrDefault("zones", ""), wheel.now(),
-                System.currentTimeMillis());
+                System.currentTimeMillis(), log);
         journal = new Journal(start.journal(), start.position(), fromJournal);
         boolean notes = "true".equals(settings.get("policy-limits.peers")) && start.peerListen() != null;
         int own = (int) Double.parseDouble(settings.getOrDefault("me", "-1"));
@@ -111,6 +116,7 @@
         });
         journal.start();
         port = callers.open(start.listen());
+        log.line("settings", start.settings().toString());
         log.line("start", start.name() + " listens at " + start.listen() + ", " + start.sockets() + " sockets, journal "
                 + start.journal() + " from " + start.position());
         return port;
@@ -216,7 +222,7 @@
             longest = longest.least(span(settings, "classes." + i + ".hard-limit-ns", 9e9));
         }
         return new Terms(List.of(names), (int) number(settings, "policy-limits.max-open", 20_000), longest,
-                span(settings, "guarantees.answer-slack-ns", 20e6));
+                span(settings, "guarantees.answer-slack-ns", 20e6).plus(ON_SOCKETS));
     }
 
     private static double number(Map<String, String> settings, String name, double otherwise) throws IOException {
@@ -298,6 +304,11 @@
         public void processOver(long target) {
             desk.switchOver(target, null);
         }
+
+        @Override
+        public void log(String line) {
+            log.line("line-over", line);
+        }
     };
 
     private final Journal.Heard fromJournal = new Journal.Heard() {
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -234,6 +234,9 @@
                 unsure.add(one);
             }
         }
+        if (!unsure.isEmpty()) {
+            out.log("unsure", unsure.size() + " good answers not acknowledged on a line that ended");
+        }
         // Its good answer may not have come through, and nobody else would ever release it.
         for (Taken one : unsure) {
             out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
@@ -307,12 +310,17 @@
 
     /** The process behind a switch has ended: what stood there before a moment is over, and no release will come. */
     public void switchOver(long target, Moment before) {
+        int over = 0;
         for (Taken one : List.copyOf(standing.values())) {
             if (one.ring.target == target && (before == null || one.stoodAt.before(before))) {
+                over++;
                 release(one, Ended.CUT);
                 standingOver(one, Cause.CUT, NO_REPORT);
             }
         }
+        if (over > 0) {
+            out.log("switch-over", over + " contacts stood at switch " + target);
+        }
     }
 
     // ---- ends
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import martenslip.control.Moment;
 import martenslip.control.Span;
+import martenslip.pulse.Pulse;
 import martenslip.sip.transport.Bounds;
 import martenslip.sip.transport.Connection;
 import martenslip.sip.transport.Drops;
@@ -42,13 +43,15 @@
 
         /** The process there has ended: what stood on it is over. */
         void processOver(long target);
+
+        void log(String line);
     }
 
     private static final int EACH = 2;
     private static final Span FIRST_PAUSE = Span.ofMillis(50);
     private static final Span LONGEST_PAUSE = Span.ofMillis(1000);
-    /** A switch that has left the list and says nothing for so long has ended. */
-    private static final Span QUIET = Span.ofMillis(3000);
+    /** A switch tells the state of its group before anything else: one that has not by then has none. */
+    private static final Span TELLS = Span.ofMillis(150);
     private static final Span LOOK = Span.ofMillis(500);
     /** How long a release is kept for a further connection where nothing says that it was heard. */
     private static final Span UNHEARD = Span.ofMillis(4000);
@@ -58,7 +61,10 @@
         final Connection connection;
         final Far far;
         final Moment asked;
+        /** Opened for a sign of life only, and ended once it has come up. */
+        boolean asks;
         boolean up;
+        Moment upAt;
         float[] lastLoad;
 
         Link(Connection connection, Far far, Moment asked) {
@@ -78,13 +84,14 @@
         boolean listed = true;
         Span pause = Span.ZERO;
         boolean waiting;
-        Moment heardAt;
+        boolean failed;
+        final Pulse pulse;
         int turn;
 
         Far(long id, InetSocketAddress at, Moment now) {
             this.id = id;
             this.at = at;
-            heardAt = now;
+            pulse = new Pulse(now);
         }
     }
 
@@ -116,38 +123,49 @@
         if (far == null) {
             far = new Far(id, at, wheel.now());
             fars.put(id, far);
+            look(far);
         }
         far.listed = true;
+        far.pulse.listed(true);
         fill(far);
     }
 
     /** A switch has left the list: no further connection is opened to it, and it is forgotten once it is quiet. */
     public void unlisted(long id) {
         Far far = fars.get(id);
-        if (far != null && far.listed) {
+        if (far != null) {
             far.listed = false;
-            far.heardAt = wheel.now();
-            look(far);
+            far.pulse.listed(false);
         }
     }
 
     private void look(Far far) {
-        if (far.listed || fars.get(far.id) != far) {
+        if (fars.get(far.id) != far || closing) {
             return;
         }
-        if (far.links.isEmpty() || wheel.now().since(far.heardAt).longerThan(QUIET)) {
-            fars.remove(far.id);
-            List.copyOf(far.links).forEach(link -> link.connection.close("the switch left the list"));
+        Pulse.Sign sign = far.pulse.look(wheel.now());
+        if (sign == Pulse.Sign.OVER || !far.listed && far.links.isEmpty()) {
+            heard.log("switch " + far.id + " at " + far.at + " says nothing any more, listed: " + far.listed);
+            List.copyOf(far.links).forEach(link -> link.connection.close("silent"));
             heard.processOver(far.id);
-            return;
+            if (!far.listed) {
+                fars.remove(far.id);
+                return;
+            }
+        } else if (sign == Pulse.Sign.ASK && open(far)) {
+            far.links.get(far.links.size() - 1).asks = true;
         }
         wheel.after(LOOK, () -> look(far));
     }
 
-    /** True once each listed switch has told the state of its group. */
+    /**
+     * True once each listed switch has told the state of its group, or has been connected for long enough to have told
+     * it: the own exchange's switch has no group and says nothing. One that can't be reached is not waited for.
+     */
     public boolean allTold() {
-        return fars.values().stream().allMatch(far -> !far.listed
-                || far.links.stream().anyMatch(link -> link.lastLoad != null));
+        return fars.values().stream().allMatch(far -> !far.listed || far.failed
+                || far.links.stream().anyMatch(link -> link.lastLoad != null
+                || link.up && wheel.now().since(link.upAt).longerThan(TELLS)));
     }
 
     public int count() {
@@ -258,7 +276,7 @@
         @Override
         public void ended(Connection connection, String why) {
             drops.count("switch line over: " + (why.length() <= 40 ? why : why.substring(0, 40)));
-            put(() -> over(connection));
+            put(() -> over(connection, why));
         }
 
         private void put(Runnable what) {
@@ -276,13 +294,18 @@
             return;
         }
         link.up = true;
+        link.upAt = wheel.now();
         link.far.pause = Span.ZERO;
-        link.far.heardAt = wheel.now();
+        link.far.pulse.heard(wheel.now());
+        if (link.asks && link.far.links.size() > EACH) {
+            link.connection.close("it lives");
+            return;
+        }
         link.far.releases.values().removeIf(one -> wheel.now().since(one.at).longerThan(UNHEARD));
         link.far.releases.forEach((tag, one) -> link.connection.send(SwitchSays.finish(tag, one.cause)));
     }
 
-    private void over(Connection connection) {
+    private void over(Connection connection, String why) {
         Link link = links.remove(connection.number());
         if (link == null) {
             return;
@@ -290,6 +313,11 @@
         Far far = link.far;
         boolean told = far.links.indexOf(link) == 0;
         far.links.remove(link);
+        heard.log("switch " + far.id + " at " + far.at + (connection.everUp() ? ": " : ", never up: ") + why);
+        if (!connection.everUp()) {
+            far.failed = true;
+            far.pulse.neverUp(wheel.now());
+        }
         heard.connectionOver(far.id, connection.number(), connection.everUp());
         if (connection.refused()) {
             heard.processOver(far.id);
@@ -306,7 +334,7 @@
             return;
         }
         Far far = link.far;
-        far.heardAt = wheel.now();
+        far.pulse.heard(wheel.now());
         switch (says.verb()) {
             case "STARTED" -> heard.started(far.id, number, says.tag(), says.description());
             case "FINISH" -> heard.ended(far.id, number, says.tag(), says.cause(), says.note(),
--- a/src/main/java/martenslip/sip/transport/Framer.java
+++ b/src/main/java/martenslip/sip/transport/Framer.java
@@ -106,7 +106,8 @@
             end++;
         }
         boolean whole = end < length;
-        String line = new String(held, 0, Math.min(end, most), java.nio.charset.StandardCharsets.ISO_8859_1).trim();
+        String line = new String(held, 0, Math.min(end, most), java.nio.charset.StandardCharsets.ISO_8859_1);
+        line = line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
         int blank = line.indexOf(' ');
         String first = blank < 0 ? line : line.substring(0, blank);
         boolean method = first.length() <= 16 && first.chars().allMatch(c -> c >= 'A' && c <= 'Z');
--- a/src/test/java/martenslip/ArchitectureTest.java
+++ b/src/test/java/martenslip/ArchitectureTest.java
@@ -26,6 +26,7 @@
                 .layer("expect").definedBy("martenslip.expect")
                 .layer("lookout").definedBy("martenslip.lookout")
                 .layer("roll").definedBy("martenslip.roll")
+                .layer("pulse").definedBy("martenslip.pulse")
                 .layer("sip").definedBy("martenslip.sip..")
                 .layer("provision").definedBy("martenslip.provision")
                 .layer("signal").definedBy("martenslip.signal")
@@ -43,6 +44,7 @@
                 .whereLayer("platform").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("lookout").mayOnlyBeAccessedByLayers("exchange")
                 .whereLayer("roll").mayOnlyBeAccessedByLayers("exchange", "platform")
+                .whereLayer("pulse").mayOnlyBeAccessedByLayers("platform")
                 .whereLayer("exchange").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("module").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("drill").mayOnlyBeAccessedByLayers("cli")
@@ -59,7 +61,7 @@
 
     @Test
     public void decisionsBesideTheModuleKnowOnlyItsInterface() {
-        for (String decides : new String[] {"martenslip.lookout", "martenslip.roll"}) {
+        for (String decides : new String[] {"martenslip.lookout", "martenslip.roll", "martenslip.pulse"}) {
             classes().that().resideInAPackage(decides).should().onlyDependOnClassesThat(
                     resideInAnyPackage(decides, "martenslip.control", "java.util..", "java.lang..")).check(all);
             noClasses().that().resideInAPackage(decides).should().callMethod(System.class, "nanoTime").check(all);
--- /dev/null
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -0,0 +1,273 @@
+package martenslip.platform;
+
+import static martenslip.platform.StandIn.event;
+import static martenslip.platform.StandIn.line;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import martenslip.Logic;
+import martenslip.platform.StandIn.Line;
+import martenslip.platform.StandIn.Machine;
+import martenslip.platform.StandIn.Said;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The controller in service between a stand-in of the platform's other parties, on loopback. */
+public class ServeTest {
+    private static final String TAG = "9b1f03aa5c7e2d41";
+    private static final String OTHER = "9b1f03aa5c7e2d42";
+    private static final String BODY = "v=0\r\nc=IN \"\\\u20ac\r\n";
+    private static final PrintStream SILENT = new PrintStream(OutputStream.nullOutputStream());
+    private StandIn world;
+    private List<Machine> machines;
+    private StandIn.Feed feed;
+    private Path file;
+    private Serve serve;
+
+    @BeforeMethod
+    public void begin() throws IOException {
+        world = new StandIn();
+        machines = world.machines(3);
+        feed = world.new Feed();
+        file = StandIn.written(StandIn.placement(feed.port(), list("up")));
+        feed.tell(list("up"));
+        serve = new Serve(file, Logic::new, SILENT);
+        serve.open();
+    }
+
+    private String list(String state) {
+        return event(1, true, line("s-0", machines.get(0).port(), 0, "up"), line("s-1", machines.get(1).port(), 1, state),
+                line("s-2", machines.get(2).port(), 2, "up"));
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        serve.close();
+        world.close();
+    }
+
+    private Line caller() throws IOException {
+        return world.new Line(serve.listens());
+    }
+
+    /** Tests until one passes: only then are the states of the groups there. */
+    private Line ready() throws IOException {
+        Line line = caller();
+        for (int i = 0; i < 2000; i++) {
+            line.say("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n");
+            if (line.next().startsWith("SIP/2.0 200")) {
+                return line;
+            }
+        }
+        throw new AssertionError("never ready");
+    }
+
+    private Said stood(Line line) throws Exception {
+        line.invite(TAG, "dear", 3000, BODY);
+        Said start = machines.get(1).next("START");
+        start.started("m=audio");
+        assertTrue(line.next().endsWith("m=audio"));
+        line.say(Line.message("ACK", TAG, "", ""));
+        return start;
+    }
+
+    @Test
+    public void aContactIsSetUpAndReleased() throws Exception {
+        Line line = ready();
+        line.invite(TAG, "dear", 3000, BODY);
+        Said start = machines.get(1).next("START");
+        assertEquals(start.description(), BODY);
+        assertEquals(start.tag(), TAG);
+        start.started("m=audio 31000");
+        String answer = line.next();
+        assertTrue(answer.startsWith("SIP/2.0 200 ") && answer.endsWith("m=audio 31000"), answer);
+        line.say(Line.message("ACK", TAG, "", ""));
+        start.finish(16, "");
+        String bye = line.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16"), bye);
+    }
+
+    @Test
+    public void aCallersByeFromAnotherLineReachesTheSwitch() throws Exception {
+        stood(ready());
+        Line other = caller().say(Line.message("BYE", TAG, "Reason: Q.850;cause=16\r\n", ""));
+        assertTrue(other.next().startsWith("SIP/2.0 200 "));
+        assertEquals(machines.get(1).next("FINISH").tag(), TAG);
+    }
+
+    @Test
+    public void aSpoiltLineCutsTheRingAndNotWhatStands() throws Exception {
+        Line line = ready();
+        Said standing = stood(line);
+        line.invite(OTHER, "dear", 3000, BODY);
+        Said start = machines.get(1).next("START");
+        start.answer("{\"verb\":\"STARTED\",\"tag\":\"" + OTHER + "\",\"opts\":{},\"blob\":\"half");
+        // The module tries again after the release, on what connection there is by then.
+        Said again = machines.get(1).next("START");
+        again.started("whole");
+        assertTrue(line.next().endsWith("whole"));
+        standing.by().close();
+        machines.get(1).links.stream().filter(link -> !link.isClosed()).findFirst().orElseThrow().getOutputStream()
+                .write(("{\"verb\":\"FINISH\",\"tag\":\"" + TAG + "\",\"opts\":{},\"rc\":16}\n").getBytes());
+        assertTrue(line.next().contains("Call-ID: " + TAG));
+    }
+
+    @Test
+    public void whatStoodOnAMachineThatDiedIsReleased() throws Exception {
+        Line line = ready();
+        stood(line);
+        machines.get(1).stop();
+        String bye = line.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=41"), bye);
+    }
+
+    @Test
+    public void anAddressThatIsUsedAgainIsANewSwitch() throws Exception {
+        Line line = ready();
+        stood(line);
+        int port = machines.get(1).port();
+        feed.tell(event(2, false, line("s-1", port, 1, "removed"), line("s-9", port, 1, "up")));
+        // The old one says nothing any more, so what stood there ends with it.
+        assertTrue(line.next().startsWith("BYE "));
+        line.invite(OTHER, "dear", 3000, BODY);
+        machines.get(1).next("START").started("new");
+        assertTrue(line.next().endsWith("new"));
+    }
+
+    @DataProvider
+    public Object[][] broken() {
+        return new Object[][] {{"id: 2\ndata: {\"pos\":2,\"hosts\":{\"inst"}, {"id: 2\ndata: nonsense\n\n"},
+            {"id: 2\ndata: {\"pos\":2}\n\n"}, {""}};
+    }
+
+    /** The feed breaks off amid an event; it is asked for again from the last whole one, and doubles are skipped. */
+    @Test(dataProvider = "broken")
+    public void theFeedGoesOnAfterABreak(String spoilt) throws Exception {
+        Line line = ready();
+        assertEquals(feed.asked(), 1);
+        feed.broken = spoilt;
+        assertEquals(feed.asked(), 1);
+        feed.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "removed"),
+                line("s-7", machines.get(2).port(), 1, "up")));
+        // Two connections to each switch: four once the new one at the same address is known.
+        for (int i = 0; i < 1000 && machines.get(2).links.size() < 4; i++) {
+            Thread.sleep(5);
+        }
+        line.invite(TAG, "dear", 3000, BODY);
+        machines.get(2).next("START").started("at the new one");
+        assertTrue(line.next().endsWith("at the new one"));
+    }
+
+    @Test
+    public void aReloadMovesTheFeedAndPositionsGoOn() throws Exception {
+        ready();
+        assertEquals(feed.asked(), 1);
+        StandIn.Feed moved = world.new Feed();
+        Files.writeString(file, StandIn.placement(moved.port(), list("up")));
+        serve.reload();
+        assertEquals(moved.asked(), 1);
+    }
+
+    @Test
+    public void aBrokenPlacementAtAReloadChangesNothing() throws Exception {
+        Line line = ready();
+        Files.writeString(file, "{\"name\":");
+        serve.reload();
+        stood(line);
+    }
+
+    @DataProvider
+    public Object[][] placements() {
+        String good = StandIn.placement(1, event(1, true));
+        return new Object[][] {
+            {"{", "end-of-input"}, {"[]", "no object"}, {good.replace("\"seed\"", "\"sead\""), "seed is missing"},
+            {good.replace("00000000000000aa", "x"), "seed is no number"},
+            {good.replace("127.0.0.1:1\"", "somewhere:1\""), "journal: somewhere:1 is no address"},
+            {good.replace("\"sockets\":64", "\"sockets\":\"many\""), "limits.sockets is missing or no number"},
+            {good.replace("\"settings\"", "\"sittings\""), "settings is missing"},
+            {good.replace("\"hosts\"", "\"guests\""), "an event without hosts"},
+            {good.replace("\"classes\":[", "\"classes\":[],\"others\":["), "settings.classes is missing"},
+        };
+    }
+
+    @Test(dataProvider = "placements")
+    public void aPlacementThatIsNoneSaysWhereAndWhy(String text, String expected) throws IOException {
+        Path bad = StandIn.written(text);
+        try (Serve never = new Serve(bad, Logic::new, SILENT)) {
+            throw new AssertionError("it was taken: " + never);
+        } catch (IOException e) {
+            assertTrue(e.getMessage().contains(expected), e.getMessage());
+        }
+    }
+
+    @Test
+    public void termAmidASetUpAnswersItAndEnds() throws Exception {
+        Line line = ready();
+        line.invite(TAG, "dear", 3000, BODY);
+        Said start = machines.get(1).next("START");
+        serve.term();
+        Line late = caller();
+        late.invite(OTHER, "dear", 3000, BODY);
+        machines.get(1).next("START").started("late");
+        assertTrue(late.next().endsWith("late"));
+        start.started("in time");
+        assertTrue(line.next().endsWith("in time"));
+        serve.await();
+    }
+
+    /** What bad callers send: each gets a word or an end, and never a good answer. */
+    @DataProvider
+    public Object[][] bad() {
+        String fit = "Call-Kind: dear\r\nAnswer-Within: 900\r\nRouting-Data: dest:1;width:1;via:-1\r\n";
+        String head = "INVITE sip:00000000000000bb@net SIP/2.0\r\nCall-ID: " + TAG + "\r\nCSeq: 1 INVITE\r\n" + fit;
+        return new Object[][] {
+            {""}, {"\u0000\u0001\u0002\u0003\r\n\r\n"}, {"GET / HTTP/1.1\r\n\r\n"},
+            {head + "Content-Length: 60000000\r\n\r\n"}, {head + "Content-Length: -1\r\n\r\n"},
+            {head + "Content-Length: 99999999999999999999\r\n\r\n"}, {head + "Content-Length: many\r\n\r\n"},
+            {head + "Content-Length: 10\r\n\r\nhalf"}, {head + "X: " + "y".repeat(40_000)},
+            {head + "\r\nno length"}, {head + "Content-Length: 4\r\nContent-Length: 9\r\n\r\nbody"},
+            {head + "Content-Length: 4\r\n\r\nbody which is longer\r\n"},
+            {head.replace(TAG, "short") + "Content-Length: 0\r\n\r\n"},
+            {head.replace("dear", "unknown") + "Content-Length: 0\r\n\r\n"},
+            {head.replace("900", "NaN") + "Content-Length: 0\r\n\r\n"},
+            {head.replace("Call-ID: " + TAG + "\r\n", "") + "Content-Length: 0\r\n\r\n"},
+            {head.replace("INVITE ", "JUMP ") + "Content-Length: 0\r\n\r\n"},
+            {(head + "Content-Length: 0\r\n\r\n").repeat(2)},
+            {Line.message("BYE", TAG, "", "")}, {Line.message("CANCEL", TAG, "", "")},
+        };
+    }
+
+    @Test(dataProvider = "bad")
+    public void badCallersGetAWordOrAnEndInTime(String text) throws Exception {
+        ready();
+        Line line = caller();
+        long begun = System.nanoTime();
+        line.say(text);
+        String answer = line.next();
+        assertTrue(System.nanoTime() - begun < 3_000_000_000L, "too late");
+        assertTrue(answer == null || !answer.startsWith("SIP/2.0 200") && !answer.startsWith("SIP/2.0 1"), answer);
+    }
+
+    @Test
+    public void afterBadOnesTheUsualCallersAreServed() throws Exception {
+        Line usual = ready();
+        for (int i = 0; i < 60; i++) {
+            caller().say("nonsense" + i + "\r\n\r\n");
+        }
+        stood(usual);
+    }
+
+    @Test
+    public void aPlacementThatIsNotThereIsTold() {
+        assertThrows(IOException.class, () -> new Serve(Path.of("/nowhere/at/all.json"), Logic::new, SILENT));
+    }
+}
--- /dev/null
+++ b/src/test/java/martenslip/platform/desk/DeskTest.java
@@ -0,0 +1,347 @@
+package martenslip.platform.desk;
+
+import static martenslip.platform.desk.TinyDesk.LINK;
+import static martenslip.platform.desk.TinyDesk.SWITCH;
+import static martenslip.platform.desk.TinyDesk.ask;
+import static martenslip.platform.desk.TinyDesk.request;
+import static martenslip.platform.desk.TinyDesk.tag;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class DeskTest {
+    private static final float[] NONE = {};
+    private TinyDesk tiny;
+    private Desk desk;
+
+    @BeforeMethod
+    public void begin() {
+        tiny = new TinyDesk();
+        desk = tiny.desk;
+    }
+
+    /** A contact of line 1 that is offered and rung. */
+    private void rung() {
+        desk.setUp(ask(1, 1, 3000));
+        desk.tell(to -> desk.ring(1, SWITCH, Span.ofMillis(2990)));
+        tiny.told();
+        tiny.sent();
+    }
+
+    private void stood() {
+        rung();
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        desk.acknowledged(tag(1));
+        tiny.told();
+        tiny.sent();
+    }
+
+    @Test
+    public void theAnswerOfTheSwitchIsTheCallers() {
+        rung();
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        assertEquals(tiny.sent(), List.of("1: 200 INVITE c=x\r\n"));
+        assertEquals(tiny.told(), List.of("stands 1 0 7"));
+    }
+
+    @Test
+    public void aSecondAnswerIsNotPassedOn() {
+        stood();
+        desk.started(SWITCH, LINK, tag(1), "c=y\r\n");
+        assertEquals(tiny.sent(), List.of());
+    }
+
+    @Test
+    public void anAnswerWithoutDescriptionIsNoGoodAnswer() {
+        rung();
+        desk.started(SWITCH, LINK, tag(1), null);
+        assertEquals(tiny.sent(), List.of("FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of("end 1 0 CUT NONE false"));
+    }
+
+    @Test
+    public void anAnswerOfAnotherSwitchOrForNobodyIsIgnored() {
+        rung();
+        desk.started(8, LINK, tag(1), "c=x\r\n");
+        desk.started(SWITCH, LINK, tag(2), "c=x\r\n");
+        assertEquals(tiny.sent(), List.of());
+        assertEquals(tiny.told(), List.of());
+    }
+
+    @Test
+    public void patienceCountsFromWhenTheLastByteWasRead() {
+        tiny.at(400);
+        desk.setUp(ask(1, 1, 3000));
+        assertEquals(tiny.told(), List.of("offered 1 1 to 2 patience 2600"));
+    }
+
+    @Test
+    public void deferredSaysWhenToComeBack() {
+        desk.setUp(ask(1, 1, 3000));
+        desk.tell(to -> desk.defer(1, Span.ofMillis(700)));
+        assertEquals(tiny.sent(), List.of("1: 503 INVITE away 700"));
+        assertEquals(desk.open(), 0);
+        assertEquals(desk.known(), List.of());
+    }
+
+    @Test
+    public void abandonedIsAnotherRefusal() {
+        desk.setUp(ask(1, 1, 3000));
+        desk.tell(to -> desk.abandon(1));
+        assertEquals(tiny.sent(), List.of("1: 500 INVITE"));
+    }
+
+    @Test
+    public void noSecondAnswerFollowsTheFirst() {
+        desk.setUp(ask(1, 1, 3000));
+        desk.tell(to -> desk.defer(1, Span.ZERO));
+        desk.tell(to -> desk.abandon(1));
+        tiny.at(10_000);
+        assertEquals(tiny.sent(), List.of("1: 503 INVITE"));
+    }
+
+    @Test
+    public void theLastWordWaitsForTheModulesOwn() {
+        desk.setUp(ask(1, 1, 3000));
+        tiny.at(3000);
+        assertEquals(tiny.sent(), List.of());
+        tiny.at(3020);
+        assertEquals(tiny.sent(), List.of("log last-word", "1: 500 INVITE"));
+        assertTrue(tiny.told().contains("gone 1"));
+    }
+
+    @Test
+    public void theRingTimesOutAndIsGivenUp() {
+        rung();
+        tiny.at(2991);
+        assertEquals(tiny.sent(), List.of("FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of("end 1 0 TIMED_OUT NONE false"));
+    }
+
+    @Test
+    public void aCallerWhoGivesUpIsToldSoAndNothingAfter() {
+        rung();
+        desk.withdrawn(1, request("CANCEL", 1));
+        assertEquals(tiny.sent(), List.of("1: 200 CANCEL", "1: 487 INVITE"));
+        assertEquals(tiny.told(), List.of("gone 1"));
+        desk.tell(to -> desk.callOff(1, 0));
+        assertEquals(tiny.sent(), List.of("FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of("end 1 0 CALLED_OFF NONE true"));
+        assertEquals(desk.known(), List.of());
+    }
+
+    @Test
+    public void aRingThatStandsAfterItsCallerLeftIsReleased() {
+        rung();
+        desk.lineOver(1);
+        tiny.told();
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        assertEquals(tiny.sent(), List.of("FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of("end 1 0 CALLED_OFF NONE true"));
+    }
+
+    @Test
+    public void anotherLineCantWithdrawAContact() {
+        rung();
+        desk.withdrawn(2, request("CANCEL", 1));
+        assertEquals(tiny.sent(), List.of("2: 481 CANCEL"));
+        assertEquals(tiny.told(), List.of());
+    }
+
+    @Test
+    public void twoSetUpsUnderOneIdOnALineEndTheLine() {
+        rung();
+        desk.setUp(ask(1, 1, 3000));
+        assertEquals(tiny.sent(), List.of("1: dropped"));
+        assertEquals(tiny.told(), List.of("gone 1"));
+    }
+
+    @Test
+    public void theIdOfAnOpenContactOnAnotherLineIsRefused() {
+        rung();
+        desk.setUp(ask(2, 1, 3000));
+        assertEquals(tiny.sent(), List.of("2: 482 INVITE"));
+        assertEquals(tiny.told(), List.of());
+    }
+
+    @Test
+    public void moreThanMayBeOpenIsRefusedUnseen() {
+        for (int i = 1; i <= 4; i++) {
+            desk.setUp(ask(1, i, 3000));
+        }
+        assertEquals(tiny.sent(), List.of("1: 503 INVITE"));
+        assertEquals(desk.open(), 3);
+    }
+
+    @Test
+    public void theSwitchesReleaseIsTheCallersByeFromAnyLine() {
+        stood();
+        tiny.closed.add(1L);
+        tiny.any = 5;
+        desk.ended(SWITCH, 41, tag(1), 16, null, new float[] {3, 9});
+        assertEquals(tiny.sent(), List.of("5: BYE Q.850;cause=16"));
+        assertEquals(tiny.told(), List.of("end 1 0 CONCLUDED NONE true"));
+    }
+
+    @Test
+    public void aReleaseIsSaidAgainUntilItIsHeard() {
+        stood();
+        desk.ended(SWITCH, LINK, tag(1), 41, null, NONE);
+        tiny.at(401);
+        assertEquals(tiny.sent(), List.of("1: BYE Q.850;cause=41", "1: BYE Q.850;cause=41"));
+        desk.releaseHeard(tag(1));
+        tiny.at(5000);
+        assertEquals(tiny.sent(), List.of());
+        assertEquals(desk.unheardReleases(), 0);
+    }
+
+    @Test
+    public void aReleaseWaitsForALine() {
+        stood();
+        tiny.closed.add(1L);
+        tiny.any = 0;
+        desk.ended(SWITCH, LINK, tag(1), 16, null, NONE);
+        tiny.at(3000);
+        assertEquals(tiny.sent(), List.of());
+        tiny.any = 6;
+        tiny.at(3500);
+        assertEquals(tiny.sent().get(0), "6: BYE Q.850;cause=16");
+    }
+
+    @Test
+    public void aCallersByeReleasesTheSwitch() {
+        stood();
+        desk.released(9, request("BYE", 1));
+        assertEquals(tiny.sent(), List.of("9: 200 BYE", "FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of("end 1 0 CALLED_OFF NONE true"));
+    }
+
+    @Test
+    public void aByeForNobodyIsAnswered() {
+        desk.released(9, request("BYE", 1));
+        assertEquals(tiny.sent(), List.of("9: 481 BYE"));
+    }
+
+    @Test
+    public void aLostConnectionCutsItsRingsAndNothingThatStands() {
+        stood();
+        desk.setUp(ask(1, 2, 3000));
+        desk.tell(to -> desk.ring(2, SWITCH, Span.ofMillis(2990)));
+        tiny.told();
+        desk.connectionOver(SWITCH, LINK, true);
+        assertEquals(tiny.told(), List.of("end 2 0 CUT NONE false"));
+        assertEquals(desk.standing(), 1);
+    }
+
+    @Test
+    public void aConnectionThatNeverCameUpProvesThatNothingRan() {
+        rung();
+        desk.connectionOver(SWITCH, LINK, false);
+        assertEquals(tiny.told(), List.of("end 1 0 UNREACHABLE NONE false"));
+    }
+
+    @Test
+    public void noConnectionAtAllIsToldAfterTheOrder() {
+        tiny.unreachable = true;
+        desk.setUp(ask(1, 1, 3000));
+        desk.tell(to -> {
+            desk.ring(1, SWITCH, Span.ofMillis(2990));
+            tiny.told.add("order given");
+        });
+        assertEquals(tiny.told().subList(1, 3), List.of("order given", "end 1 0 UNREACHABLE NONE false"));
+    }
+
+    @Test
+    public void whatStoodOnAProcessThatEndedIsReleased() {
+        stood();
+        desk.switchOver(SWITCH, null);
+        assertEquals(tiny.sent(), List.of("1: BYE Q.850;cause=41", "log switch-over"));
+        assertEquals(tiny.told(), List.of("end 1 0 CUT NONE true"));
+    }
+
+    @Test
+    public void whatStandsSinceTheRestartStays() {
+        tiny.at(1000);
+        stood();
+        desk.switchOver(SWITCH, new Moment(Span.ofMillis(500).ns()));
+        assertEquals(desk.standing(), 1);
+    }
+
+    @Test
+    public void anInheritedContactIsReleasedLikeOthersAndNoNewsOfTheModule() {
+        SetUp asked = new SetUp(3, request("INVITE", 4), tag(4), "00000000000000aa", 0, new Moment(0), Span.ZERO, 0,
+                -1, 1, false, false, "s-1", "");
+        desk.stoodBefore(asked, SWITCH);
+        desk.stoodBefore(asked, SWITCH);
+        assertEquals(desk.standing(), 1);
+        assertEquals(tiny.sent(), List.of());
+        desk.ended(SWITCH, LINK, tag(4), 16, null, NONE);
+        assertEquals(tiny.sent(), List.of("3: BYE Q.850;cause=16"));
+        assertEquals(tiny.told(), List.of());
+    }
+
+    @Test
+    public void oneThatStoodNowhereIsOver() {
+        desk.stoodNowhere(ask(3, 4, 0));
+        assertEquals(tiny.sent(), List.of("3: BYE Q.850;cause=41"));
+    }
+
+    @Test
+    public void aGoodAnswerThatItsLineTookAlongIsReleasedBothWays() {
+        rung();
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        tiny.sent();
+        tiny.told();
+        tiny.closed.add(1L);
+        tiny.any = 2;
+        desk.lineOver(1);
+        assertEquals(tiny.sent(), List.of("log unsure", "FINISH 7 40 1 16", "2: BYE Q.850;cause=41"));
+        assertEquals(tiny.told(), List.of("end 1 0 CALLED_OFF NONE true"));
+    }
+
+    @Test
+    public void oneThatWasAcknowledgedBelongsToNoLine() {
+        stood();
+        desk.lineOver(1);
+        assertEquals(desk.standing(), 1);
+        assertEquals(tiny.sent(), List.of());
+    }
+
+    @Test
+    public void whileClosingNewContactsAreRefusedAndOpenOnesAnswered() {
+        rung();
+        desk.closing();
+        desk.setUp(ask(1, 2, 3000));
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        assertEquals(tiny.sent(), List.of("1: 503 INVITE", "1: 200 INVITE c=x\r\n"));
+    }
+
+    @Test
+    public void aFaultOfTheModuleEndsNothing() {
+        desk.tell(to -> {
+            throw new IllegalStateException("planted");
+        });
+        desk.setUp(ask(1, 1, 3000));
+        assertEquals(tiny.sent(), List.of("log fault"));
+        assertEquals(tiny.told().size(), 1);
+    }
+
+    @Test
+    public void nothingIsKeptOfContactsThatAreOver() {
+        for (int i = 1; i < 200; i++) {
+            desk.setUp(ask(1, i, 3000));
+            int id = i;
+            desk.tell(to -> desk.ring(id, SWITCH, Span.ofMillis(2990)));
+            desk.started(SWITCH, LINK, tag(i), "c=x\r\n");
+            desk.ended(SWITCH, LINK, tag(i), 16, null, NONE);
+            desk.releaseHeard(tag(i));
+        }
+        assertEquals(desk.known(), List.of());
+        assertEquals(desk.standing() + desk.open() + desk.unheardReleases(), 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/martenslip/platform/desk/TinyDesk.java
@@ -0,0 +1,180 @@
+package martenslip.platform.desk;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import martenslip.control.Controller;
+import martenslip.control.Moment;
+import martenslip.control.RingEnd;
+import martenslip.control.Span;
+import martenslip.control.SwitchLine;
+import martenslip.control.Contact;
+import martenslip.sip.message.Headers;
+import martenslip.sip.message.Parsed;
+import martenslip.sip.message.Parser;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.wheel.Wheel;
+
+/** A desk on driven time. What it sends and what it tells a module that decides nothing is kept as lines of text. */
+final class TinyDesk implements Outward, Controller {
+    static final long SWITCH = 7;
+    static final long LINK = 40;
+    static final Terms TERMS = new Terms(List.of("cheap", "dear"), 3, Span.ofMillis(9000), Span.ofMillis(20));
+    final Wheel wheel = new Wheel(new Moment(0));
+    final List<String> sent = new ArrayList<>();
+    final List<String> told = new ArrayList<>();
+    final Set<Long> closed = new HashSet<>();
+    final Desk desk = new Desk(wheel, TERMS, this);
+    boolean unreachable;
+    long any = 1;
+
+    TinyDesk() {
+        desk.module(this);
+    }
+
+    static String tag(int number) {
+        return String.format("%016x", number);
+    }
+
+    static Request request(String method, int number) {
+        Headers headers = new Headers();
+        headers.add("Call-ID", tag(number)).add("CSeq", "1 " + method);
+        return new Request(method, "sip:00000000000000aa@net", headers);
+    }
+
+    static SetUp ask(long line, int number, double ms) {
+        return new SetUp(line, request("INVITE", number), tag(number), "00000000000000aa", 1, new Moment(0),
+                Span.ofMillis(ms), 2, -1, 1, false, false, null, "v=0\r\n");
+    }
+
+    TinyDesk at(double ms) {
+        wheel.turn(new Moment(Span.ofMillis(ms).ns()));
+        return this;
+    }
+
+    /** What was sent since the last look. */
+    List<String> sent() {
+        List<String> all = List.copyOf(sent);
+        sent.clear();
+        return all;
+    }
+
+    List<String> told() {
+        List<String> all = List.copyOf(told);
+        told.clear();
+        return all;
+    }
+
+    private static String plain(byte[] message) {
+        Parsed parsed = Parser.lean(message, message.length);
+        if (parsed.message() instanceof Response answer) {
+            String away = answer.headers().first("Come-Back-Ms");
+            return answer.status() + " " + answer.headers().first("CSeq").substring(2)
+                    + (away == null ? "" : " away " + away)
+                    + (answer.body().length == 0 ? "" : " " + new String(answer.body(), StandardCharsets.UTF_8));
+        }
+        Request request = (Request) parsed.message();
+        return request.method() + " " + request.headers().first("Reason");
+    }
+
+    @Override
+    public boolean toCaller(long line, byte[] message) {
+        if (closed.contains(line)) {
+            return false;
+        }
+        sent.add(line + ": " + plain(message));
+        return true;
+    }
+
+    @Override
+    public long anyLine() {
+        return any;
+    }
+
+    @Override
+    public void settled(long line) {
+        // Counted by the lines; nothing that the desk is judged by.
+    }
+
+    @Override
+    public void drop(long line, String why) {
+        sent.add(line + ": dropped");
+        desk.lineOver(line);
+    }
+
+    @Override
+    public long start(long target, String tag, String skill, long leftMs, String key, String description) {
+        sent.add("START " + target + " " + Long.parseLong(tag, 16) + " " + skill + " " + leftMs + " " + description);
+        return unreachable ? 0 : LINK;
+    }
+
+    @Override
+    public void finish(long target, long connection, String tag, int cause) {
+        sent.add("FINISH " + target + " " + connection + " " + Long.parseLong(tag, 16) + " " + cause);
+    }
+
+    @Override
+    public void finished(long target, long connection, String tag) {
+        // Free on the platform: nothing is judged by it.
+    }
+
+    @Override
+    public void note(int peer, byte[] note) {
+        sent.add("note " + peer);
+    }
+
+    @Override
+    public void log(String kind, String line) {
+        sent.add("log " + kind);
+    }
+
+    @Override
+    public void listed(Moment now, ListKind kind, List<SwitchLine> lines) {
+        told.add("listed " + kind);
+    }
+
+    @Override
+    public void offered(Moment now, Contact contact) {
+        told.add("offered " + contact.id() + " " + contact.skill() + " to " + contact.destination() + " patience "
+                + contact.patience().ns() / 1_000_000);
+    }
+
+    @Override
+    public void stands(Moment now, long contact, int ring, long target, Span took) {
+        told.add("stands " + contact + " " + ring + " " + target);
+    }
+
+    @Override
+    public void ringEnded(Moment now, RingEnd end) {
+        told.add("end " + end.contact() + " " + end.ring() + " " + end.cause() + " " + end.blame() + " "
+                + end.answered());
+    }
+
+    @Override
+    public void callerGone(Moment now, long contact) {
+        told.add("gone " + contact);
+    }
+
+    @Override
+    public void clockRung(Moment now, long token) {
+        told.add("clock " + token);
+    }
+
+    @Override
+    public void reported(Moment now, long target, boolean reached, Span took, float[] report) {
+        told.add("report " + target + " " + report.length);
+    }
+
+    @Override
+    public void peerNote(Moment now, int peer, byte[] note) {
+        told.add("note " + peer);
+    }
+
+    @Override
+    public void stopped(Moment now) {
+        told.add("stopped");
+    }
+}
--- /dev/null
+++ b/src/test/java/martenslip/platform/switchline/SwitchSaysTest.java
@@ -0,0 +1,82 @@
+package martenslip.platform.switchline;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import martenslip.sip.transport.Cutter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class SwitchSaysTest {
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void aDescriptionPassesUnchanged() throws IOException {
+        String odd = "a\r\n\"\\\u0000\u001f\u20ac\ud83d\ude00 /</script>";
+        byte[] line = SwitchSays.start("00000000000000aa", "dear", 1500, "00000000000000bb", odd);
+        assertEquals(line[line.length - 1], '\n');
+        assertEquals(SwitchSays.read(Arrays.copyOf(line, line.length - 1)),
+                new SwitchSays("START", "00000000000000aa", null, null, 0, odd));
+    }
+
+    @Test
+    public void allThatCountsIsRead() throws IOException {
+        assertEquals(SwitchSays.read(bytes("{\"verb\":\"FINISH\",\"tag\":\"t\",\"new\":{\"a\":[1]},\"opts\":{\"load\":"
+                + "\"x0:1\",\"note\":\"overload\",\"other\":[{}]},\"rc\":34}")),
+                new SwitchSays("FINISH", "t", "x0:1", "overload", 34, null));
+    }
+
+    @DataProvider
+    public Object[][] spoilt() {
+        return new Object[][] {{""}, {"{"}, {"[]"}, {"{}"}, {"{\"verb\":\"LOAD\""}, {"{\"verb\":1}"},
+            {"{\"verb\":\"A\"} x"}, {"{\"verb\":\"A\",\"blob\":{}}"}, {"{\"verb\":\"A\",\"opts\":3}"},
+            {"\u0000\u0001"}, {"{\"verb\":\"A\",\"tag\":" + "[".repeat(100) + "}"},
+            {new String(new byte[] {(byte) 0xc3, '('}, StandardCharsets.ISO_8859_1)}};
+    }
+
+    @Test(dataProvider = "spoilt")
+    public void whatIsSpoiltIsRefused(String line) {
+        assertThrows(IOException.class, () -> SwitchSays.read(line.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    private static void give(Cutter cutter, String text) {
+        byte[] bytes = bytes(text);
+        byte[] room = cutter.room();
+        int at = cutter.at();
+        while (room.length - at < bytes.length) {
+            cutter.took(room.length - at);
+            room = cutter.room();
+            cutter.took(at - cutter.at());
+        }
+        System.arraycopy(bytes, 0, room, at, bytes.length);
+        cutter.took(bytes.length);
+    }
+
+    @Test
+    public void linesAreCutWhereverReadsEnd() throws Cutter.Lost {
+        LineCutter cutter = new LineCutter();
+        give(cutter, "one\ntw");
+        assertEquals(new String(cutter.next()), "one");
+        assertEquals(cutter.next(), null);
+        give(cutter, "o\n\n");
+        assertEquals(new String(cutter.next()), "two");
+        assertEquals(new String(cutter.next()), "");
+        assertEquals(cutter.amid(), false);
+    }
+
+    @Test
+    public void aLineWithoutEndIsLost() {
+        LineCutter cutter = new LineCutter();
+        assertThrows(Cutter.Lost.class, () -> {
+            for (int i = 0; i < 20; i++) {
+                give(cutter, "x".repeat(1000));
+                cutter.next();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/martenslip/sip/transport/FramerTest.java
@@ -0,0 +1,48 @@
+package martenslip.sip.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class FramerTest {
+    private static final String WHOLE = "OPTIONS sip:ping@net SIP/2.0\r\nContent-Length: 2\r\n\r\n";
+
+    private static Framer given(String text) {
+        Framer framer = new Framer(4096, 2048, true);
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        System.arraycopy(bytes, 0, framer.room(), 0, bytes.length);
+        framer.took(bytes.length);
+        return framer;
+    }
+
+    /** What follows a body that is longer than its length says shows itself at once, before all of it has come. */
+    @DataProvider
+    public Object[][] noStart() {
+        return new Object[][] {{"m=audio 31000"}, {"\r\nm=audio 31000 RTP/AVP"}, {"0 8 101\r\n"}, {"SAY SIP\r\n"},
+            {"\u0000\u0001"}, {"invite sip:x SIP/2.0\r\n"}, {"SIP/3.0 200 OK\r\n"}, {"A".repeat(40)}};
+    }
+
+    @Test(dataProvider = "noStart")
+    public void aStreamWithoutStartLineIsLost(String rest) throws Cutter.Lost {
+        Framer framer = given(WHOLE + "ab" + rest);
+        assertNotNull(framer.next());
+        assertThrows(Cutter.Lost.class, framer::next);
+    }
+
+    @DataProvider
+    public Object[][] starts() {
+        return new Object[][] {{"S"}, {"SIP/2"}, {"SIP/2.0 200 OK\r\nA: b"}, {"INV"}, {"INVITE sip:x"}, {"\r\n\r\n"},
+            {"BYE sip:x SIP/2.0\r\nCall-"}, {""}};
+    }
+
+    @Test(dataProvider = "starts")
+    public void theBeginningOfAMessageIsWaitedFor(String rest) throws Cutter.Lost {
+        Framer framer = given(WHOLE + "ab" + rest);
+        assertEquals(framer.next().length, WHOLE.length() + 2);
+        assertEquals(framer.next(), null);
+    }
+}
