Switch lines: only the newest state of a group is taken; a moot set-up tells one

Two links a switch each told every change, read and queued one by one. Set aside: notices that are old when read (1 ms between a START and the state that counts it).

Change: a moot set-up without circuits tells that few are free, with the group's last size; states wait one at a time and those of a further link stay unread.

--- a/src/main/java/martenslip/platform/Placement.java
+++ b/src/main/java/martenslip/platform/Placement.java
@@ -15,7 +15,7 @@
  * What the platform tells one controller at its start and at each SIGHUP; read whole or not at all. An error names the
  * path in the file and the reason.
  */
-record Placement(String name, InetSocketAddress listen, long seed, int sockets, InetSocketAddress peerListen,
+record Placement(String name, InetSocketAddress listen, long seed, int sockets, String limits, InetSocketAddress peerListen,
                  List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress journal, long position,
                  List<ListEvent> known, Map<String, String> settings) {
     private static final int MOST_BYTES = 4 << 20;
@@ -45,7 +45,7 @@
         }
         Map<?, ?> limits = map(all.get("limits"), "limits");
         return new Placement(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
-                seed(text(all.get("seed"), "seed")), (int) figure(limits.get("sockets"), "limits.sockets"),
+                seed(text(all.get("seed"), "seed")), (int) figure(limits.get("sockets"), "limits.sockets"), limits.toString(),
                 optional(all.get("peer_listen"), "peer_listen"), List.copyOf(peers),
                 optional(all.get("peers_all"), "peers_all"), Addresses.of(all.get("journal"), "journal"), position,
                 List.copyOf(known), Flat.of(map(all.get("settings"), "settings")));
--- a/src/main/java/martenslip/platform/Roster.java
+++ b/src/main/java/martenslip/platform/Roster.java
@@ -102,7 +102,9 @@
         restarted.forEach(desk::switchOver);
         desk.tell(to -> to.listed(now, kind, told));
         for (String id : left) {
-            lines.unlisted(known.remove(id).number);
+            long number = known.remove(id).number;
+            lines.unlisted(number);
+            desk.forget(number);
         }
     }
 }
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -117,7 +117,7 @@
         journal.start();
         port = callers.open(start.listen());
         log.line("settings", start.settings().toString());
-        log.line("start", start.name() + " listens at " + start.listen() + ", " + start.sockets() + " sockets, journal "
+        log.line("start", start.name() + " listens at " + start.listen() + ", " + "limits " + start.limits() + ", journal "
                 + start.journal() + " from " + start.position());
         return port;
     }
@@ -305,6 +305,11 @@
             desk.switchOver(target, null);
         }
 
+        @Override
+        public boolean standsAt(long target) {
+            return desk.standsAt(target);
+        }
+
         @Override
         public void log(String line) {
             log.line("line-over", line);
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -57,6 +57,8 @@
     private final Map<Long, Taken> ringing = new LinkedHashMap<>();
     private final Map<String, Taken> standing = new LinkedHashMap<>();
     private final Map<String, Release> releases = new LinkedHashMap<>();
+    /** Sizes of the groups as they were told last. */
+    private final Map<Long, Integer> sizes = new HashMap<>();
     private final ArrayDeque<Consumer<Controller>> news = new ArrayDeque<>();
     private final Counts counts = new Counts();
     private Controller module;
@@ -89,6 +91,10 @@
         return standing.size();
     }
 
+    public boolean standsAt(long target) {
+        return standing.values().stream().anyMatch(one -> one.ring.target == target);
+    }
+
     public int unheardReleases() {
         return releases.size();
     }
@@ -291,14 +297,38 @@
             standingOver(one, Ended.ofStanding(cause), report);
         } else {
             Ended end = Ended.ofRing(cause, note);
-            ringOver(one, end.cause(), end.blame(), report);
+            told(target, report);
+            ringOver(one, end.cause(), end.blame(), state(one, end, report));
         }
     }
 
     public void load(long target, float[] report) {
+        told(target, report);
         tell(to -> to.reported(wheel.now(), target, true, Span.ZERO, report));
     }
 
+    private void told(long target, float[] report) {
+        if (report.length >= 2 && report[1] >= 0) {
+            sizes.put(target, (int) report[1]);
+        }
+    }
+
+    /**
+     * A set-up that found too few circuits says so without a report: that few are free is a state of the group all
+     * the same, and where the switch told none when they were taken, it is the only word of it.
+     */
+    private float[] state(Taken one, Ended end, float[] report) {
+        boolean full = end.cause() == Cause.NOT_SENT && end.blame() == Blame.NO_CIRCUIT;
+        Integer size = sizes.get(one.ring.target);
+        return full && report.length == 0 && size != null ? new float[] {one.asked == null ? 0
+                : Math.max(0, one.asked.width() - 1), size} : report;
+    }
+
+    /** A switch that has left the list for good; its number does not come again. */
+    public void forget(long target) {
+        sizes.remove(target);
+    }
+
     /** A connection is over; the rings that went by it are given up, what stands is not touched. */
     public void connectionOver(long target, long connection, boolean everUp) {
         for (Taken one : List.copyOf(ringing.values())) {
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -4,10 +4,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.pulse.Pulse;
@@ -44,6 +45,8 @@
         /** The process there has ended: what stood on it is over. */
         void processOver(long target);
 
+        boolean standsAt(long target);
+
         void log(String line);
     }
 
@@ -65,7 +68,12 @@
         boolean asks;
         boolean up;
         Moment upAt;
-        float[] lastLoad;
+        boolean told;
+        /** The one whose states count; readers look at it. */
+        volatile boolean first;
+        /** The newest state that was read and not yet taken, or that is kept while another link's count. */
+        final AtomicReference<byte[]> newest = new AtomicReference<>();
+        volatile long readAt;
 
         Link(Connection connection, Far far, Moment asked) {
             this.connection = connection;
@@ -86,6 +94,7 @@
         boolean waiting;
         boolean failed;
         final Pulse pulse;
+        long readAt;
         int turn;
 
         Far(long id, InetSocketAddress at, Moment now) {
@@ -103,7 +112,7 @@
     private final Load loads;
     private final Drops drops;
     private final Map<Long, Far> fars = new LinkedHashMap<>();
-    private final Map<Long, Link> links = new HashMap<>();
+    private final Map<Long, Link> links = new ConcurrentHashMap<>();
     private long numbers;
     private boolean closing;
 
@@ -143,7 +152,14 @@
         if (fars.get(far.id) != far || closing) {
             return;
         }
-        Pulse.Sign sign = far.pulse.look(wheel.now());
+        for (Link link : far.links) {
+            if (link.readAt - far.readAt > 0 || far.readAt == 0 && link.readAt != 0) {
+                far.readAt = link.readAt;
+                far.pulse.heard(new Moment(link.readAt));
+            }
+        }
+        // Where nothing stands, nothing is owed, and silence is no matter.
+        Pulse.Sign sign = far.listed && !heard.standsAt(far.id) ? Pulse.Sign.WELL : far.pulse.look(wheel.now());
         if (sign == Pulse.Sign.OVER || !far.listed && far.links.isEmpty()) {
             heard.log("switch " + far.id + " at " + far.at + " says nothing any more, listed: " + far.listed);
             List.copyOf(far.links).forEach(link -> link.connection.close("silent"));
@@ -164,7 +180,7 @@
      */
     public boolean allTold() {
         return fars.values().stream().allMatch(far -> !far.listed || far.failed
-                || far.links.stream().anyMatch(link -> link.lastLoad != null
+                || far.links.stream().anyMatch(link -> link.told
                 || link.up && wheel.now().since(link.upAt).longerThan(TELLS)));
     }
 
@@ -187,6 +203,7 @@
             Link link = new Link(connection, far, wheel.now());
             links.put(connection.number(), link);
             far.links.add(link);
+            link.first = far.links.get(0) == link;
             connection.start("switch");
             return true;
         } catch (OutOfMemoryError e) {
@@ -257,6 +274,19 @@
     private final Connection.Events events = new Connection.Events() {
         @Override
         public void whole(Connection connection, byte[] line) throws InterruptedException {
+            Link link = links.get(connection.number());
+            if (link == null) {
+                return;
+            }
+            link.readAt = System.nanoTime();
+            if (SwitchSays.state(line)) {
+                // States come by the hundred a second and only the newest counts: one waits for its turn at a time,
+                // and those of a further connection stay unread until that one is the first.
+                if (link.newest.getAndSet(line) == null && (link.first || !link.told)) {
+                    turn.run(() -> loaded(link));
+                }
+                return;
+            }
             SwitchSays says;
             try {
                 says = SwitchSays.read(line);
@@ -322,31 +352,45 @@
         if (connection.refused()) {
             heard.processOver(far.id);
         }
-        if (told && !far.links.isEmpty() && far.links.get(0).lastLoad != null) {
-            heard.load(far.id, far.links.get(0).lastLoad);
+        if (told && !far.links.isEmpty()) {
+            first(far.links.get(0));
         }
         pause(far);
     }
 
+    private void first(Link link) {
+        link.first = true;
+        loaded(link);
+    }
+
+    private void loaded(Link link) {
+        if (links.get(link.connection.number()) != link) {
+            return;
+        }
+        link.told = true;
+        byte[] newest = link.first ? link.newest.getAndSet(null) : null;
+        if (newest == null) {
+            return;
+        }
+        try {
+            heard.load(link.far.id, loads.read(SwitchSays.read(newest).load()));
+        } catch (IOException e) {
+            drops.count("a switch's line that can't be read");
+            link.connection.close("unreadable state");
+        }
+    }
+
     private void take(long number, SwitchSays says) {
         Link link = links.get(number);
         if (link == null) {
             return;
         }
         Far far = link.far;
-        far.pulse.heard(wheel.now());
         switch (says.verb()) {
             case "STARTED" -> heard.started(far.id, number, says.tag(), says.description());
             case "FINISH" -> heard.ended(far.id, number, says.tag(), says.cause(), says.note(),
                     loads.read(says.load()));
             case "FINISHED" -> far.releases.remove(says.tag());
-            case "LOAD" -> {
-                float[] report = loads.read(says.load());
-                link.lastLoad = report;
-                if (far.links.get(0) == link) {
-                    heard.load(far.id, report);
-                }
-            }
             case "PENDING", "ECHOED" -> { }
             default -> {
                 drops.count("a switch's line of an unknown type");
--- a/src/main/java/martenslip/platform/switchline/SwitchSays.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchSays.java
@@ -9,6 +9,18 @@
 
 /** One line of a switch: the type, the id, what it carries of the fields that count here, cause and description. */
 record SwitchSays(String verb, String tag, String load, String note, int cause, String description) {
+    private static final byte[] STATE = "\"LOAD\"".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+
+    /** True where the type can only be the state of a group: a quote in a text is written with a stroke before it. */
+    static boolean state(byte[] line) {
+        for (int i = line.length - STATE.length; i >= 0; i--) {
+            if (java.util.Arrays.equals(line, i, i + STATE.length, STATE, 0, STATE.length)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     static SwitchSays read(byte[] line) throws IOException {
         String verb = null;
         String tag = "";
--- a/src/test/java/martenslip/platform/switchline/SwitchSaysTest.java
+++ b/src/test/java/martenslip/platform/switchline/SwitchSaysTest.java
@@ -31,6 +31,13 @@
                 new SwitchSays("FINISH", "t", "x0:1", "overload", 34, null));
     }
 
+    @Test
+    public void aStateIsKnownByItsTypeAndNotByATextThatNamesIt() {
+        assertEquals(SwitchSays.state(bytes("{\"opts\":{},\"tag\":\"0\",\"verb\":\"LOAD\"}")), true);
+        byte[] line = SwitchSays.start("00000000000000aa", "dear", 1500, "00000000000000bb", "\"verb\":\"LOAD\"");
+        assertEquals(SwitchSays.state(line), false);
+    }
+
     @DataProvider
     public Object[][] spoilt() {
         return new Object[][] {{""}, {"{"}, {"[]"}, {"{}"}, {"{\"verb\":\"LOAD\""}, {"{\"verb\":1}"},
