Callers: a line that has just come or holds something unread is not ended for others

Counts: 400 to 1,000 lines ended for new ones at one controller. Cause: Callers.makeRoom took lines that seemed to owe nothing while their set-up stood in the socket, or in the hands of a reader that had no CPU; at SIGTERM the end came while lines were unread. Set aside: lines of wrong messages, idle ones, two set-ups under one id (none).

The end waits for what is unread and takes transit for longer.

--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -33,15 +33,20 @@
 public final class Serve implements AutoCloseable {
     private static final int INBOX = 4096;
     private static final Span READY_AT_LAST = Span.ofMillis(1500);
-    /** After SIGTERM set-ups come for 0.6 s; what comes later than this is refused. */
-    private static final Span STILL_TAKEN = Span.ofMillis(700);
-    private static final Span LAST_FOR_SURE = Span.ofMillis(720);
+    /**
+     * After SIGTERM callers' set-ups come for 0.6 s, and may wait unread where the core is busy; contacts in transit
+     * come as long as the process runs. Nothing is won by an early end: the kill comes 3.7 s after SIGTERM at the
+     * soonest. What comes later than the first of these is refused.
+     */
+    private static final Span STILL_TAKEN = Span.ofMillis(1800);
+    private static final Span LAST_FOR_SURE = Span.ofMillis(2000);
     /** Half of what the platform adds to every time limit on sockets. */
     private static final Span ON_SOCKETS = Span.ofMillis(25);
     private static final Span LOOK = Span.ofMillis(50);
     private static final Span TELL = Span.ofMillis(5000);
-    /** Parts of the descriptors: callers', and what files, the journal and the rest may need. */
-    private static final double CALLERS_PART = 0.55;
+    /** Descriptors that switches, the journal, files and the JVM may need; and a bound of threads for lines. */
+    private static final int NOT_FOR_CALLERS = 72;
+    private static final int MOST_LINES = 500;
 
     private final Path file;
     private final Log log;
@@ -68,7 +73,7 @@
         start = Placement.read(file);
         Map<String, String> settings = start.settings();
         Terms terms = terms(settings);
-        int forCallers = Math.max(16, (int) (start.sockets() * CALLERS_PART));
+        int forCallers = Math.max(16, Math.min(MOST_LINES, start.sockets() - NOT_FOR_CALLERS));
         Bounds bounds = new Bounds(forCallers, Span.ofMillis(2000), Span.ofMillis(20_000), Span.ofMillis(1500),
                 256 * 1024, Span.ofMillis(3000), Span.ofMillis(500));
         callers = new Callers(terms, bounds, writers, drops, fromCallers);
@@ -175,7 +180,7 @@
     }
 
     private void ending() {
-        if (desk.open() > 0) {
+        if (desk.open() > 0 || callers.unread()) {
             wheel.after(LOOK, this::ending);
             return;
         }
--- a/src/main/java/martenslip/platform/caller/Callers.java
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import martenslip.control.Moment;
@@ -37,6 +39,12 @@
     /** Set-ups of one line that may be open at a time; at more its reader refuses. */
     private static final int MOST_OPEN = 256;
 
+    /** A line is quiet that has brought nothing for so long: more than a reader may be late. */
+    private static final long QUIET_NS = 400_000_000L;
+    private static final int MOST_LOOKS = 16;
+    private static final int WAIT_MS = 10;
+    private static final int MOST_WAITS = 100;
+
     /** Takes what is fit; called by reading threads and may make them wait. */
     public interface Heard {
         void setUp(SetUp asked) throws InterruptedException;
@@ -96,6 +104,11 @@
         return lines.size();
     }
 
+    /** True where some line holds what its reader has not come to. */
+    public boolean unread() {
+        return lines.values().stream().anyMatch(line -> line.connection.unread());
+    }
+
     public boolean send(long line, byte[] message) {
         Line to = lines.get(line);
         return to != null && to.connection.send(message);
@@ -131,7 +144,7 @@
         while (!closing) {
             try {
                 Socket socket = listener.accept();
-                if (lines.size() >= bounds.connections() && !makeRoom()) {
+                if (!room()) {
                     drops.count("too many lines");
                     socket.close();
                     continue;
@@ -154,23 +167,52 @@
         }
     }
 
-    /** Ends the line that has been quiet longest of those that owe nothing, first of those that never said a thing. */
-    private boolean makeRoom() {
-        Line worst = null;
-        for (Line one : lines.values()) {
-            if (one.open.get() <= 0 && (worst == null || worst.good && !one.good
-                    || worst.good == one.good && one.heardAt - worst.heardAt < 0)) {
-                worst = one;
+    /** Waits a little for a line that may be ended; others that want in wait with the system meanwhile. */
+    private boolean room() throws IOException {
+        for (int i = 0; lines.size() >= bounds.connections(); i++) {
+            if (i == MOST_WAITS) {
+                return false;
+            }
+            if (!makeRoom()) {
+                try {
+                    Thread.sleep(WAIT_MS);
+                } catch (InterruptedException e) {
+                    throw new IOException("stopped", e);
+                }
             }
         }
-        if (worst == null) {
-            return false;
-        }
-        drops.count("quiet line ended for a new one");
-        worst.connection.close("room for others");
         return true;
     }
 
+    /**
+     * Ends the line that has been quiet longest of those that owe nothing, first of those that never said a thing. One
+     * that has just come, or of which something waits to be read, is never it: its caller would lose a set-up that
+     * this controller has taken, and on part of a core a reader may come to it late.
+     */
+    private boolean makeRoom() {
+        Set<Line> busy = new HashSet<>();
+        for (int i = 0; i < MOST_LOOKS; i++) {
+            long now = System.nanoTime();
+            Line worst = null;
+            for (Line one : lines.values()) {
+                if (one.open.get() <= 0 && now - one.heardAt > QUIET_NS && !busy.contains(one) && (worst == null
+                        || worst.good && !one.good || worst.good == one.good && one.heardAt - worst.heardAt < 0)) {
+                    worst = one;
+                }
+            }
+            if (worst == null) {
+                return false;
+            }
+            if (!worst.connection.unread() && worst.open.get() <= 0) {
+                drops.count("quiet line ended for a new one");
+                worst.connection.close("room for others");
+                return true;
+            }
+            busy.add(worst);
+        }
+        return false;
+    }
+
     private final Connection.Events events = new Connection.Events() {
         @Override
         public void whole(Connection connection, byte[] message) throws InterruptedException {
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -46,6 +46,7 @@
     private boolean refused;
     private long started;
     private boolean saidOne;
+    private volatile boolean handling;
     private int timeout;
 
     Connection(long number, Socket socket, InetSocketAddress peer, boolean up, Bounds bounds, Events events) {
@@ -77,6 +78,15 @@
         return up;
     }
 
+    /** True where something has arrived that the reading thread has not come to yet, or is amid of. */
+    public boolean unread() {
+        try {
+            return handling || socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** True where the other side had nobody listening: proof that nothing runs there. */
     public synchronized boolean refused() {
         return refused;
@@ -284,6 +294,7 @@
                     close(cutter.amid() ? "ended amid a message" : "ended by the peer");
                     return;
                 }
+                handling = true;
                 begun = cutter.amid() ? begun : System.nanoTime();
                 cutter.took(got);
                 for (byte[] whole : wholes()) {
@@ -291,6 +302,7 @@
                     begun = System.nanoTime();
                     saidOne = true;
                 }
+                handling = false;
             }
         } catch (SocketTimeoutException e) {
             close(cutter.amid() ? "a message took too long to arrive" : saidOne ? "idle" : "no message came");
