Connections: readers' threads are kept for the next; the deciding thread never waits for itself

Read in passing: a line that the deciding thread itself ends tells so by its own inbox, and would wait for ever where that is full; it now does so in its next turn (a test that hung before). TransportTest: an end told late by the connection of another test.

--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -62,6 +62,7 @@
     private final Journal journal;
     private final Peers peers;
     private final Placement start;
+    private volatile Thread decides;
     private volatile boolean ready;
     private Moment termAt;
     private int port;
@@ -114,6 +115,7 @@
                 log.line("fault", fault + " at " + Arrays.stream(fault.getStackTrace()).limit(3).toList());
             }
         }, () -> {
+            decides = Thread.currentThread();
             roster.remembered(start.known(), wheel.now());
             Moment begun = wheel.now();
             look(begun);
@@ -208,7 +210,12 @@
         log.line("end", desk.counts().toString());
     }
 
-    private void turn(Runnable what) throws InterruptedException {
+    /** Has something done by the deciding thread; waits for room, but never on that thread, which alone makes room. */
+    void turn(Runnable what) throws InterruptedException {
+        if (Thread.currentThread() == decides) {
+            wheel.after(Span.ZERO, what);
+            return;
+        }
         post.put(what, () -> drops.count("waited for the deciding thread"));
     }
 
--- a/src/main/java/martenslip/platform/caller/Callers.java
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -154,19 +155,25 @@
                         (InetSocketAddress) socket.getRemoteSocketAddress(), true, bounds, events,
                         new Framer(MOST_BYTES, FIRST_BYTES, true), writers);
                 lines.put(connection.number(), new Line(connection));
-                connection.start("line");
+                begin(connection);
             } catch (IOException e) {
                 if (listener.isClosed()) {
                     return;
                 }
                 drops.count("accept fault");
-            } catch (OutOfMemoryError e) {
-                // No thread to be had for one more line; those that are there go on.
-                drops.count("no thread for a line");
             }
         }
     }
 
+    private void begin(Connection connection) {
+        try {
+            connection.start("line");
+        } catch (OutOfMemoryError | RejectedExecutionException e) {
+            // No thread to be had for one more line; those that are there go on.
+            connection.close("no thread for a line");
+        }
+    }
+
     /** Waits a little for a line that may be ended; others that want in wait with the system meanwhile. */
     private boolean room() throws IOException {
         for (int i = 0; lines.size() >= bounds.connections(); i++) {
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 import martenslip.control.Moment;
@@ -197,17 +198,19 @@
     }
 
     private boolean open(Far far) {
+        Connection connection = new Connection(++numbers, new Socket(), far.at, false, bounds, events,
+                new LineCutter(), writers);
+        Link link = new Link(connection, far, wheel.now());
+        links.put(connection.number(), link);
+        far.links.add(link);
+        link.first = far.links.get(0) == link;
         try {
-            Connection connection = new Connection(++numbers, new Socket(), far.at, false, bounds, events,
-                    new LineCutter(), writers);
-            Link link = new Link(connection, far, wheel.now());
-            links.put(connection.number(), link);
-            far.links.add(link);
-            link.first = far.links.get(0) == link;
             connection.start("switch");
             return true;
-        } catch (OutOfMemoryError e) {
-            drops.count("no thread for a switch");
+        } catch (OutOfMemoryError | RejectedExecutionException e) {
+            links.remove(connection.number());
+            far.links.remove(link);
+            connection.close("no thread for a switch");
             return false;
         }
     }
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -28,7 +28,6 @@
     }
 
     private static final int STACK = 256 * 1024;
-    private static final int SMALL_STACK = 128 * 1024;
 
     final long number;
     private final InetSocketAddress peer;
@@ -98,9 +97,7 @@
 
     public void start(String name) {
         if (writers != null) {
-            Thread only = new Thread(null, this::connectAndRead, name + "-" + number, SMALL_STACK);
-            only.setDaemon(true);
-            only.start();
+            writers.read(this::connectAndRead);
             return;
         }
         // Asked before the writer runs: it may connect at once, and then begins to read by itself.
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -12,6 +12,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import martenslip.Logic;
 import martenslip.platform.StandIn.Line;
 import martenslip.platform.StandIn.Machine;
@@ -286,6 +288,22 @@
         stood(usual);
     }
 
+    /** A line that the deciding thread ends tells so by the same inbox: full, it must not wait for itself. */
+    @Test(timeOut = 30_000)
+    public void theDecidingThreadNeverWaitsForItself() throws Exception {
+        CountDownLatch done = new CountDownLatch(10_000);
+        serve.turn(() -> {
+            for (int i = 0; i < 10_000; i++) {
+                try {
+                    serve.turn(done::countDown);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        });
+        assertTrue(done.await(20, TimeUnit.SECONDS));
+    }
+
     @Test
     public void aPlacementThatIsNotThereIsTold() {
         assertThrows(IOException.class, () -> new Serve(Path.of("/nowhere/at/all.json"), Logic::new, SILENT));
--- a/src/test/java/martenslip/sip/transport/TransportTest.java
+++ b/src/test/java/martenslip/sip/transport/TransportTest.java
@@ -27,7 +27,7 @@
 public class TransportTest {
     private static final Bounds TIGHT = new Bounds(2, Span.ofMillis(700), Span.ofMillis(300), 200_000,
             Span.ofMillis(500), Span.ofMillis(300));
-    private final LinkedBlockingQueue<Arrival> inbox = new LinkedBlockingQueue<>();
+    private LinkedBlockingQueue<Arrival> inbox;
     private Transport transport;
 
     private Transport open() throws IOException {
@@ -35,16 +35,18 @@
     }
 
     private Transport open(Bounds bounds) throws IOException {
-        inbox.clear();
+        // Of its own for each test: a connection of the one before may still tell its end.
+        LinkedBlockingQueue<Arrival> own = new LinkedBlockingQueue<>();
+        inbox = own;
         transport = new Transport("test", bounds, new Sink() {
             @Override
             public boolean offer(Arrival arrival) {
-                return inbox.offer(arrival);
+                return own.offer(arrival);
             }
 
             @Override
             public void put(Arrival arrival) throws InterruptedException {
-                inbox.put(arrival);
+                own.put(arrival);
             }
         }, Gate.OPEN);
         transport.openUdp(local(0));
