Switch lines: a switch that drains and refuses connections keeps what stands there

Log: a draining switch takes no further connection, its idle one is ended, the next is refused, and SwitchLines.over took that for the end of the process while the first connection still carried its states. Set aside: the list (it names them gone 3 s later).

Change: a refused connection ends what stands only where the switch is listed, does not drain and has no connection up; for others silence decides (Pulse). Test on sockets, seen failing.

--- a/src/main/java/martenslip/platform/Roster.java
+++ b/src/main/java/martenslip/platform/Roster.java
@@ -93,7 +93,7 @@
             if (entry.state() == SwitchLine.State.GONE) {
                 left.add(entry.id());
             } else {
-                lines.listed(one.number, entry.at());
+                lines.listed(one.number, entry.at(), entry.state() == SwitchLine.State.DRAINING);
             }
         }
         if (kind != ListKind.CHANGES) {
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -92,6 +92,7 @@
         final List<Link> links = new ArrayList<>();
         final Map<String, Unheard> releases = new LinkedHashMap<>();
         boolean listed = true;
+        boolean drains;
         Span pause = Span.ZERO;
         boolean waiting;
         boolean failed;
@@ -127,8 +128,8 @@
         this.heard = heard;
     }
 
-    /** A switch is on the list, or still is. */
-    public void listed(long id, InetSocketAddress at) {
+    /** A switch is on the list, or still is. One that drains may take no further connection and is alive all the same. */
+    public void listed(long id, InetSocketAddress at, boolean drains) {
         Far far = fars.get(id);
         if (far == null) {
             far = new Far(id, at, wheel.now());
@@ -136,6 +137,7 @@
             look(far);
         }
         far.listed = true;
+        far.drains = drains;
         far.pulse.listed(true);
         fill(far);
     }
@@ -350,7 +352,7 @@
             far.pulse.neverUp(wheel.now());
         }
         heard.connectionOver(far.id, connection.number(), connection.everUp());
-        if (connection.refused()) {
+        if (connection.refused() && far.listed && !far.drains && far.links.stream().noneMatch(other -> other.up)) {
             heard.processOver(far.id);
         }
         if (told && !far.links.isEmpty()) {
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -152,6 +152,27 @@
         assertTrue(bye.startsWith("BYE ") && bye.contains("cause=41"), bye);
     }
 
+    /** On the churn's day 393 contacts that stood were released as if the process had ended: it only took no more. */
+    @Test
+    public void aSwitchThatDrainsMayRefuseConnectionsAndKeepsWhatStands() throws Exception {
+        Line line = ready();
+        Said standing = stood(line);
+        Machine machine = machines.get(1);
+        feed.tell(event(2, false, line("s-1", machine.port(), 1, "draining")));
+        // The new switch is connected to once the list is taken, and so is known to drain by then.
+        feed.tell(event(3, false, line("s-8", machines.get(2).port(), 3, "up")));
+        for (int i = 0; i < 1000 && machines.get(2).links.size() < 4; i++) {
+            Thread.sleep(5);
+        }
+        machine.deaf(standing.by());
+        // Refused by now more than once: the pauses between tries are 0, 50 and 100 ms.
+        line.socket.setSoTimeout(400);
+        assertThrows(java.net.SocketTimeoutException.class, line::next);
+        line.socket.setSoTimeout(10_000);
+        standing.finish(16, "");
+        assertTrue(line.next().contains("cause=16"));
+    }
+
     @Test
     public void anAddressThatIsUsedAgainIsANewSwitch() throws Exception {
         Line line = ready();
--- a/src/test/java/martenslip/platform/StandIn.java
+++ b/src/test/java/martenslip/platform/StandIn.java
@@ -116,6 +116,16 @@
             return next.verb.equals(verb) ? next : next(verb);
         }
 
+        /** Takes no further connection and ends all but one. */
+        void deaf(Socket but) throws IOException {
+            listener.close();
+            for (Socket link : links) {
+                if (link != but) {
+                    link.close();
+                }
+            }
+        }
+
         void stop() throws IOException {
             listener.close();
             for (Socket link : links) {
