--- a/src/main/java/martenslip/sip/transport/Framer.java
+++ b/src/main/java/martenslip/sip/transport/Framer.java
@@ -7,13 +7,11 @@
  * Cuts a stream into messages by Content-Length (RFC 3261 18.3, 20.14). Several messages in one read and one in
  * many reads are all the same to it. Without a length, or past a bound, a stream has no further message ends.
  */
-public final class Framer implements Cutter {
+public final class Framer extends Held {
     private static final String VERSION = "SIP/2.0";
 
     private final int most;
     private final boolean strict;
-    private byte[] held;
-    private int length;
     private int looked;
     private int head = -1;
     private int body;
@@ -27,32 +25,9 @@
      * than its length says is then not waited for as if it were the next message.
      */
     public Framer(int most, int first, boolean strict) {
+        super(first, most + 4096);
         this.most = most;
         this.strict = strict;
-        held = new byte[first];
-    }
-
-    @Override
-    public byte[] room() {
-        if (length == held.length) {
-            held = Arrays.copyOf(held, Math.min(2 * held.length, most + 4096));
-        }
-        return held;
-    }
-
-    @Override
-    public int at() {
-        return length;
-    }
-
-    @Override
-    public void took(int bytes) {
-        length += bytes;
-    }
-
-    @Override
-    public boolean amid() {
-        return length > 0;
     }
 
     @Override
@@ -79,8 +54,7 @@
             return null;
         }
         byte[] message = Arrays.copyOf(held, whole);
-        System.arraycopy(held, whole, held, 0, length - whole);
-        length -= whole;
+        drop(whole);
         looked = 0;
         head = -1;
         return message;
@@ -93,8 +67,7 @@
             blank++;
         }
         if (blank > 0) {
-            System.arraycopy(held, blank, held, 0, length - blank);
-            length -= blank;
+            drop(blank);
             looked = 0;
         }
     }
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -309,6 +309,26 @@
         stood(usual);
     }
 
+    /** What a controller that starts from nothing learns of contacts that stand: no answer, and a release like others. */
+    @Test
+    public void aContactThatStandsAlreadyIsReleasedByItsSwitch() throws Exception {
+        Line line = ready();
+        line.say(Line.message("INVITE", TAG, "Routing-Data: at:s-1\r\n", ""));
+        line.say("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(line.next().contains("CSeq: 1 OPTIONS"), "a set-up with at is not answered");
+        new Said(machines.get(1).links.get(0), "", TAG, "").finish(16, "");
+        String bye = line.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16") && bye.contains(TAG), bye);
+    }
+
+    @Test
+    public void oneThatStandsAtASwitchThatIsNowhereIsOver() throws Exception {
+        Line line = ready();
+        line.say(Line.message("INVITE", TAG, "Routing-Data: at:s-none\r\n", ""));
+        String bye = line.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=41"), bye);
+    }
+
     /** A line that the deciding thread ends tells so by the same inbox: full, it must not wait for itself. */
     @Test(timeOut = 30_000)
     public void theDecidingThreadNeverWaitsForItself() throws Exception {
