--- a/src/main/java/martenslip/platform/Placement.java
+++ b/src/main/java/martenslip/platform/Placement.java
@@ -36,7 +36,7 @@
         List<ListEvent> known = new ArrayList<>();
         long position = 0;
         if (all.get("known") instanceof Map<?, ?> map) {
-            position = (long) figure(map.get("pos"), "known.pos");
+            position = (long) Json.figure(map.get("pos"), "known.pos");
             if (map.get("entries") instanceof List<?> entries) {
                 for (Object entry : entries) {
                     known.add(ListEvent.of(entry));
@@ -45,7 +45,8 @@
         }
         Map<?, ?> limits = map(all.get("limits"), "limits");
         return new Placement(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
-                seed(text(all.get("seed"), "seed")), (int) figure(limits.get("sockets"), "limits.sockets"), limits.toString(),
+                seed(text(all.get("seed"), "seed")), (int) Json.figure(limits.get("sockets"), "limits.sockets"),
+                limits.toString(),
                 optional(all.get("peer_listen"), "peer_listen"), List.copyOf(peers),
                 optional(all.get("peers_all"), "peers_all"), Addresses.of(all.get("journal"), "journal"), position,
                 List.copyOf(known), Flat.of(map(all.get("settings"), "settings")));
@@ -76,11 +77,4 @@
             throw new IOException("seed is no number of 16 hex digits");
         }
     }
-
-    private static double figure(Object value, String where) throws IOException {
-        if (value instanceof Json.Figure figure) {
-            return figure.value();
-        }
-        throw new IOException(where + " is missing or no number");
-    }
 }
--- a/src/main/java/martenslip/platform/Rehearsal.java
+++ b/src/main/java/martenslip/platform/Rehearsal.java
@@ -33,13 +33,12 @@
     public static void run(Maker maker) throws IOException {
         Path file = Files.createTempFile("rehearsal", ".json");
         try (ServerSocket machine = listener(); ServerSocket feed = listener()) {
-            InetSocketAddress notes = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
             each(machine, Rehearsal::answer);
             each(feed, Rehearsal::tell);
             String list = String.format("{\"pos\":1,\"hosts\":{\"generation\":1,\"reset\":true,\"instances\":[" + EACH + ","
                     + EACH + "]}}", 0, machine.getLocalPort(), 0, 1, machine.getLocalPort(), 1);
             Files.writeString(file, "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"sockets\":"
-                    + "64},\"peer_listen\":\"127.0.0.1:" + notes.getPort() + "\",\"peers\":[],\"journal\":\"127.0.0.1:"
+                    + "64},\"peer_listen\":\"127.0.0.1:0\",\"peers\":[],\"journal\":\"127.0.0.1:"
                     + feed.getLocalPort() + "\",\"known\":{\"pos\":1,\"entries\":[" + list + "]},\"settings\":{\"classes\":[{"
                     + "\"name\":\"any\",\"aim-ns\":1000000000,\"hard-limit-ns\":3000000000,\"worth\":1}],\"zones\":[\"here\"],"
                     + "\"me\":0,\"family-info\":{\"mean-hold-ns\":[1000000000],\"widths\":[1],\"home-no\":0,\"release-ns\":"
@@ -59,11 +58,13 @@
         return new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     }
 
-    private interface Served {
+    /** Serves one connection, which is closed after it. */
+    interface Served {
         void by(Socket socket) throws IOException;
     }
 
-    private static void each(ServerSocket listener, Served served) {
+    /** Has each connection of a listener served by a thread of its own until the listener is closed. */
+    static void each(ServerSocket listener, Served served) {
         Thread accepting = new Thread(() -> {
             while (!listener.isClosed()) {
                 try {
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CountDownLatch;
 import martenslip.control.Maker;
 import martenslip.control.Moment;
-import martenslip.control.Orders;
 import martenslip.control.Span;
 import martenslip.platform.caller.Callers;
 import martenslip.platform.desk.Desk;
@@ -64,7 +63,7 @@
     private final Placement start;
     private volatile Thread decides;
     private volatile boolean ready;
-    private Moment termAt;
+    private boolean ends;
     private int port;
 
     /** The log goes to {@code out}; an exception names the path in the file and the reason. */
@@ -124,7 +123,7 @@
         journal.start();
         port = callers.open(start.listen());
         log.line("settings", start.settings().toString());
-        log.line("start", start.name() + " listens at " + start.listen() + ", " + "limits " + start.limits() + ", journal "
+        log.line("start", start.name() + " listens at " + start.listen() + ", limits " + start.limits() + ", journal "
                 + start.journal() + " from " + start.position());
         return port;
     }
@@ -169,8 +168,8 @@
     public void term() {
         try {
             turn(() -> {
-                if (termAt == null) {
-                    termAt = wheel.now();
+                if (!ends) {
+                    ends = true;
                     log.line("term", "open=" + desk.open() + " standing=" + desk.standing());
                     wheel.after(STILL_TAKEN, desk::closing);
                     wheel.after(LAST_FOR_SURE, this::ending);
@@ -336,7 +335,7 @@
 
         @Override
         public void broken(String why) {
-            drops.count("journal: " + (why.length() <= 40 ? why : why.substring(0, 40)));
+            drops.count("journal", why);
         }
     };
 
--- a/src/main/java/martenslip/platform/caller/Callers.java
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import martenslip.control.Moment;
+import martenslip.control.Span;
 import martenslip.platform.desk.Replies;
 import martenslip.platform.desk.SetUp;
 import martenslip.platform.desk.Terms;
@@ -233,7 +234,7 @@
         @Override
         public void ended(Connection connection, String why) {
             lines.remove(connection.number());
-            drops.count("line over: " + kind(why));
+            drops.count("line over", why);
             try {
                 heard.over(connection.number());
             } catch (InterruptedException e) {
@@ -242,11 +243,6 @@
         }
     };
 
-    /** Reasons are counted by kind, or texts of the system would fill the table. */
-    private static String kind(String why) {
-        return why.length() <= 40 ? why : why.substring(0, 40);
-    }
-
     private void take(Line line, byte[] bytes) throws InterruptedException {
         Parsed parsed = Parser.lean(bytes, bytes.length);
         Message message = parsed.message();
@@ -293,7 +289,7 @@
     }
 
     private void wrong(Line line, Request request, String why) {
-        drops.count("wrong: " + kind(why));
+        drops.count("wrong", why);
         if (request == null || ++line.wrong > MOST_WRONG) {
             line.connection.close(why);
             return;
@@ -301,16 +297,10 @@
         line.connection.send(Replies.plain(request, 400, why));
     }
 
-    /** Ends the listener; lines stay until {@link #close}. */
-    public void noMore() throws IOException {
-        listener.close();
-    }
-
     @Override
     public void close() throws IOException {
         closing = true;
         listener.close();
-        lines.values().forEach(line -> line.connection.finish("closing",
-                martenslip.control.Span.ofMillis(200)));
+        lines.values().forEach(line -> line.connection.finish("closing", Span.ofMillis(200)));
     }
 }
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -39,7 +39,7 @@
     private static final class Release {
         final String tag;
         final byte[] message;
-        long line;
+        final long line;
         int said;
 
         Release(String tag, byte[] message, long line) {
@@ -65,7 +65,6 @@
     private boolean amid;
     private boolean closing;
     private long ids;
-    private int open;
 
     public Desk(Wheel wheel, Terms terms, Outward out) {
         this.wheel = wheel;
@@ -84,7 +83,7 @@
 
     /** Contacts without a final answer. */
     public int open() {
-        return open;
+        return byId.size();
     }
 
     public int standing() {
@@ -134,7 +133,7 @@
             out.drop(asked.line(), "two set-ups under one id");
             return;
         }
-        if (asked.standsAt() == null && (same != null || closing || open >= terms.mostOpen())) {
+        if (asked.standsAt() == null && (same != null || closing || byId.size() >= terms.mostOpen())) {
             counts.refusedUnseen++;
             out.settled(asked.line());
             out.toCaller(asked.line(), same != null ? Replies.plain(asked.invite(), 482, "Loop Detected")
@@ -144,7 +143,6 @@
         Taken one = new Taken(++ids, asked);
         byTag.put(one.tag, one);
         byId.put(one.id, one);
-        open++;
         counts.taken++;
         Moment now = wheel.now();
         Span left = asked.patience().minus(now.since(asked.heardAt()).least(Span.ZERO));
@@ -230,7 +228,7 @@
 
     public void lineOver(long line) {
         for (Taken one : List.copyOf(byId.values())) {
-            if (one.open && one.line == line) {
+            if (one.line == line) {
                 callerGone(one);
             }
         }
@@ -258,14 +256,8 @@
         if (one == null || one.stands || one.ring == null || one.ring.target != target) {
             return;
         }
-        if (description == null) {
-            out.finish(target, one.ring.connection, tag, Ended.NORMAL);
-            ringOver(one, Cause.CUT, Blame.NONE, NO_REPORT);
-            return;
-        }
-        if (!one.open) {
-            out.finish(target, one.ring.connection, tag, Ended.NORMAL);
-            ringOver(one, Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
+        if (description == null || !one.open) {
+            giveUp(one, description == null ? Cause.CUT : Cause.CALLED_OFF);
             return;
         }
         Request invite = one.asked.invite();
@@ -320,8 +312,8 @@
     private float[] state(Taken one, Ended end, float[] report) {
         boolean full = end.cause() == Cause.NOT_SENT && end.blame() == Blame.NO_CIRCUIT;
         Integer size = sizes.get(one.ring.target);
-        return full && report.length == 0 && size != null ? new float[] {one.asked == null ? 0
-                : Math.max(0, one.asked.width() - 1), size} : report;
+        return full && report.length == 0 && size != null ? new float[] {one.asked.width() - 1, size}
+                : report;
     }
 
     /** A switch that has left the list for good; its number does not come again. */
@@ -357,7 +349,6 @@
 
     private void closed(Taken one) {
         one.open = false;
-        open--;
         one.lastWord.cancel();
         byId.remove(one.id);
         out.settled(one.line);
@@ -381,6 +372,12 @@
         tell(to -> to.ringEnded(wheel.now(), end));
     }
 
+    /** Gives a ring up toward its switch. */
+    private void giveUp(Taken one, Cause cause) {
+        out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
+        ringOver(one, cause, Blame.NONE, NO_REPORT);
+    }
+
     private void ringOver(Taken one, Cause cause, Blame blame, float[] report) {
         Taken.Ring ring = one.ring;
         ring.limit.cancel();
@@ -423,15 +420,11 @@
             return;
         }
         boolean own = one.said == 0 && out.toCaller(one.line, one.message);
-        if (!own) {
-            long other = out.anyLine();
-            if (other != 0) {
-                out.toCaller(other, one.message);
-            } else {
-                one.said--;
-            }
+        long other = own ? 0 : out.anyLine();
+        if (other != 0) {
+            out.toCaller(other, one.message);
         }
-        one.said++;
+        one.said += own || other != 0 ? 1 : 0;
         if (one.said >= MOST_SAID) {
             releases.remove(one.tag);
             return;
@@ -458,8 +451,7 @@
         ringing.put(one.id, one);
         ring.limit = wheel.after(limit, () -> {
             if (one.ring == ring) {
-                out.finish(target, connection, one.tag, Ended.NORMAL);
-                ringOver(one, Cause.TIMED_OUT, Blame.NONE, NO_REPORT);
+                giveUp(one, Cause.TIMED_OUT);
             }
         });
         if (connection == 0) {
--- a/src/main/java/martenslip/platform/journal/ListEvent.java
+++ b/src/main/java/martenslip/platform/journal/ListEvent.java
@@ -27,7 +27,7 @@
         for (Object line : lines) {
             entries.add(entry(line));
         }
-        return new ListEvent((long) number(event.get("pos"), "pos"), Boolean.TRUE.equals(hosts.get("reset")), entries);
+        return new ListEvent((long) Json.figure(event.get("pos"), "pos"), Boolean.TRUE.equals(hosts.get("reset")), entries);
     }
 
     private static Entry entry(Object value) throws IOException {
@@ -44,14 +44,7 @@
                 : Addresses.of(line.get("hostPort"), id + ".hostPort");
         Object started = line.get("startedAtMs");
         return new Entry(id, at, String.valueOf(line.get("zone")),
-                line.get("cell") == null ? -1 : (int) number(line.get("cell"), id + ".cell"), state,
-                started == null ? 0 : (long) number(started, id + ".startedAtMs"));
-    }
-
-    private static double number(Object value, String where) throws IOException {
-        if (value instanceof Json.Figure figure) {
-            return figure.value();
-        }
-        throw new IOException(where + " is no number");
+                line.get("cell") == null ? -1 : (int) Json.figure(line.get("cell"), id + ".cell"), state,
+                started == null ? 0 : (long) Json.figure(started, id + ".startedAtMs"));
     }
 }
--- a/src/main/java/martenslip/platform/json/Json.java
+++ b/src/main/java/martenslip/platform/json/Json.java
@@ -61,6 +61,14 @@
         };
     }
 
+    /** The value where it is a number; else the message names its place. */
+    public static double figure(Object value, String where) throws IOException {
+        if (value instanceof Figure figure) {
+            return figure.value();
+        }
+        throw new IOException(where + " is missing or no number");
+    }
+
     /** A number as it was written, so that the module's settings get the text and lose nothing. */
     public record Figure(String text) {
         public double value() {
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -65,7 +65,6 @@
     private static final class Link {
         final Connection connection;
         final Far far;
-        final Moment asked;
         /** Opened for a sign of life only, and ended once it has come up. */
         boolean asks;
         boolean up;
@@ -77,10 +76,9 @@
         final AtomicReference<byte[]> newest = new AtomicReference<>();
         volatile long readAt;
 
-        Link(Connection connection, Far far, Moment asked) {
+        Link(Connection connection, Far far) {
             this.connection = connection;
             this.far = far;
-            this.asked = asked;
         }
     }
 
@@ -202,7 +200,7 @@
     private boolean open(Far far) {
         Connection connection = new Connection(++numbers, new Socket(), far.at, false, bounds, events,
                 new LineCutter(), writers);
-        Link link = new Link(connection, far, wheel.now());
+        Link link = new Link(connection, far);
         links.put(connection.number(), link);
         far.links.add(link);
         link.first = far.links.get(0) == link;
@@ -308,7 +306,7 @@
 
         @Override
         public void ended(Connection connection, String why) {
-            drops.count("switch line over: " + (why.length() <= 40 ? why : why.substring(0, 40)));
+            drops.count("switch line over", why);
             put(() -> over(connection, why));
         }
 
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -115,10 +115,8 @@
     private void connectAndRead() {
         try {
             if (!everUp()) {
-                socket.connect(peer, (int) (bounds.connect().ns() / 1_000_000));
-                socket.setTcpNoDelay(true);
+                connect();
                 synchronized (this) {
-                    up = true;
                     writeIfNeeded();
                 }
                 events.up(this);
@@ -133,6 +131,22 @@
         read();
     }
 
+    private void connect() throws IOException {
+        socket.connect(peer, (int) (bounds.connect().ns() / 1_000_000));
+        socket.setTcpNoDelay(true);
+        synchronized (this) {
+            up = true;
+        }
+    }
+
+    private void write(byte[] next) throws IOException {
+        socket.getOutputStream().write(next);
+        synchronized (this) {
+            unsentBytes -= next.length;
+            writingSince = 0;
+        }
+    }
+
     private void writeIfNeeded() {
         if (up && !closed && !writing && !unsent.isEmpty()) {
             writing = true;
@@ -144,11 +158,7 @@
     private void writeAll() {
         try {
             for (byte[] next = all(); next != null; next = all()) {
-                socket.getOutputStream().write(next);
-                synchronized (this) {
-                    unsentBytes -= next.length;
-                    writingSince = 0;
-                }
+                write(next);
             }
         } catch (IOException e) {
             close(String.valueOf(e.getMessage()));
@@ -249,19 +259,11 @@
     private void write() {
         try {
             if (!everUp()) {
-                socket.connect(peer, (int) (bounds.connect().ns() / 1_000_000));
-                socket.setTcpNoDelay(true);
-                synchronized (this) {
-                    up = true;
-                }
+                connect();
                 startReading(Thread.currentThread().getName());
             }
             for (byte[] next = take(); next != null; next = take()) {
-                socket.getOutputStream().write(next);
-                synchronized (this) {
-                    unsentBytes -= next.length;
-                    writingSince = 0;
-                }
+                write(next);
             }
         } catch (IOException e) {
             close(String.valueOf(e.getMessage()));
--- a/src/main/java/martenslip/sip/transport/Drops.java
+++ b/src/main/java/martenslip/sip/transport/Drops.java
@@ -7,6 +7,8 @@
 
 /** Counts of what could not be answered or taken, by cause. Any thread may count and read. */
 public final class Drops {
+    private static final int MOST_WHY = 40;
+
     /** Causes are phrases of the program, never of a message, so their number is bounded. */
     private final ConcurrentHashMap<String, LongAdder> causes = new ConcurrentHashMap<>();
 
@@ -14,6 +16,11 @@
         causes.computeIfAbsent(cause, any -> new LongAdder()).increment();
     }
 
+    /** With why it was as far as a short text tells: reasons come from the system, and long ones would fill the table. */
+    public void count(String cause, String why) {
+        count(cause + ": " + (why.length() <= MOST_WHY ? why : why.substring(0, MOST_WHY)));
+    }
+
     public Map<String, Long> counts() {
         Map<String, Long> all = new TreeMap<>();
         causes.forEach((cause, count) -> all.put(cause, count.sum()));
--- a/src/test/java/martenslip/platform/StandIn.java
+++ b/src/test/java/martenslip/platform/StandIn.java
@@ -35,37 +35,15 @@
         return next;
     }
 
-    private interface Served {
-        void by(Socket socket) throws IOException;
-    }
-
-    private ServerSocket serve(int port, Served served) throws IOException {
+    private ServerSocket serve(int port, Rehearsal.Served served) throws IOException {
         ServerSocket listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(loopback(port), 64);
         open.add(listener);
-        Thread accepting = new Thread(() -> {
-            while (!listener.isClosed()) {
-                try {
-                    Socket socket = listener.accept();
-                    open.add(socket);
-                    Thread one = new Thread(() -> {
-                        try (socket) {
-                            served.by(socket);
-                        } catch (IOException e) {
-                            // Its end is what a test closes or breaks on purpose.
-                            return;
-                        }
-                    });
-                    one.setDaemon(true);
-                    one.start();
-                } catch (IOException e) {
-                    return;
-                }
-            }
+        Rehearsal.each(listener, socket -> {
+            open.add(socket);
+            served.by(socket);
         });
-        accepting.setDaemon(true);
-        accepting.start();
         return listener;
     }
 
