Orders to a switch can be taken back until their write begins

A cancel, the caller's end, the time-out or a drain that came meanwhile put a FINISH behind it; once the connection came up (or the writer was free) START was written all the same: an attempt that begins after its client has gone, with a "left" that was true when it was queued.

To blame: Connection.all/writeAll (bytes, fixed when queued), Desk.callOff/giveUp (FINISH whatever had been written), Desk.ring (nobody looked whether the caller was still there), Callers (a CANCEL or end waits in the inbox unmarked).

Now: what waits on a connection is Outgoing; a START is Revocable, with one change of state between its sender and the writing thread. Caller, deadline and switch are looked at as its write begins, and "left" is counted then. One that was never written is told to the module as never sent, with no FINISH. The reader marks a CANCEL or an end before it queues it (Withdrawal); a set-up that finds the inbox full is refused by its reader, so no reader waits with its caller's end behind it. Releases toward callers are a class of their own.

--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -15,6 +15,7 @@
 import martenslip.platform.desk.Desk;
 import martenslip.platform.desk.Outward;
 import martenslip.platform.desk.SetUp;
+import martenslip.platform.desk.Start;
 import martenslip.platform.desk.Terms;
 import martenslip.platform.journal.Journal;
 import martenslip.platform.journal.ListEvent;
@@ -24,6 +25,7 @@
 import martenslip.sip.message.Request;
 import martenslip.sip.transport.Bounds;
 import martenslip.sip.transport.Drops;
+import martenslip.sip.transport.Queued;
 import martenslip.sip.transport.Writers;
 import martenslip.wheel.Post;
 import martenslip.wheel.Wheel;
@@ -251,8 +253,8 @@
 
     private final Callers.Heard fromCallers = new Callers.Heard() {
         @Override
-        public void setUp(SetUp asked) throws InterruptedException {
-            turn(() -> {
+        public boolean setUp(SetUp asked) throws InterruptedException {
+            Runnable take = () -> {
                 if (asked.standsAt() == null) {
                     desk.setUp(asked);
                 } else if (roster.number(asked.standsAt()) == 0) {
@@ -260,7 +262,13 @@
                 } else {
                     desk.stoodBefore(asked, roster.number(asked.standsAt()));
                 }
-            });
+            };
+            if (asked.standsAt() == null) {
+                return post.offer(take);
+            }
+            // It expects no answer that could refuse it, and nobody else would ever release it.
+            turn(take);
+            return true;
         }
 
         @Override
@@ -351,8 +359,8 @@
         }
 
         @Override
-        public void settled(long line) {
-            callers.settled(line);
+        public void settled(long line, String tag) {
+            callers.settled(line, tag);
         }
 
         @Override
@@ -361,13 +369,13 @@
         }
 
         @Override
-        public long start(long target, String tag, String skill, long leftMs, String key, String description) {
-            return switches.start(target, tag, skill, leftMs, key, description);
+        public Queued start(long target, Start asked, Runnable unsent) {
+            return switches.start(target, asked, unsent);
         }
 
         @Override
-        public void finish(long target, long connection, String tag, int cause) {
-            switches.finish(target, connection, tag, cause);
+        public void finish(long target, long connection, String tag, int cause, Runnable written) {
+            switches.finish(target, connection, tag, cause, written);
         }
 
         @Override
--- a/src/main/java/martenslip/platform/caller/Callers.java
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -15,6 +15,7 @@
 import martenslip.platform.desk.Replies;
 import martenslip.platform.desk.SetUp;
 import martenslip.platform.desk.Terms;
+import martenslip.platform.desk.Withdrawal;
 import martenslip.sip.message.Message;
 import martenslip.sip.message.Parsed;
 import martenslip.sip.message.Parser;
@@ -49,7 +50,8 @@
 
     /** Takes what is fit; called by reading threads and may make them wait. */
     public interface Heard {
-        void setUp(SetUp asked) throws InterruptedException;
+        /** False where there is no room for it: its reader must not wait with what its caller says next. */
+        boolean setUp(SetUp asked) throws InterruptedException;
 
         void request(long line, Request request) throws InterruptedException;
 
@@ -64,6 +66,8 @@
     private static final class Line {
         final Connection connection;
         final AtomicInteger open = new AtomicInteger();
+        /** Of the set-ups that are open: whether their caller has gone. One id names one of them. */
+        final Map<String, Withdrawal> waiting = new ConcurrentHashMap<>();
         volatile long heardAt;
         volatile boolean good;
         int wrong;
@@ -127,9 +131,10 @@
         return last == null ? 0 : last.connection.number();
     }
 
-    public void settled(long line) {
+    public void settled(long line, String tag) {
         Line one = lines.get(line);
         if (one != null) {
+            one.waiting.remove(tag);
             one.open.decrementAndGet();
         }
     }
@@ -233,7 +238,10 @@
 
         @Override
         public void ended(Connection connection, String why) {
-            lines.remove(connection.number());
+            Line line = lines.remove(connection.number());
+            if (line != null) {
+                line.waiting.values().forEach(Withdrawal::make);
+            }
             drops.count("line over", why);
             try {
                 heard.over(connection.number());
@@ -260,7 +268,15 @@
         Request request = (Request) message;
         switch (request.method()) {
             case "INVITE" -> setUp(line, request);
-            case "ACK", "CANCEL", "BYE" -> heard.request(number, request);
+            case "CANCEL", "BYE" -> {
+                Withdrawal caller = line.waiting.get(request.callId());
+                if (caller != null) {
+                    // Before it is queued: what was ordered for it and not yet sent must not go out meanwhile.
+                    caller.make();
+                }
+                heard.request(number, request);
+            }
+            case "ACK" -> heard.request(number, request);
             case "OPTIONS" -> {
                 line.good = true;
                 boolean ready = heard.ready();
@@ -272,8 +288,9 @@
 
     private void setUp(Line line, Request invite) throws InterruptedException {
         SetUp asked;
+        Withdrawal caller = new Withdrawal();
         try {
-            asked = fit.setUp(line.connection.number(), invite, new Moment(System.nanoTime()));
+            asked = fit.setUp(line.connection.number(), invite, new Moment(System.nanoTime()), caller);
         } catch (Fit.Unfit e) {
             wrong(line, invite, e.getMessage());
             return;
@@ -285,7 +302,16 @@
             return;
         }
         line.good = true;
-        heard.setUp(asked);
+        line.waiting.put(asked.tag(), caller);
+        if (lines.get(line.connection.number()) != line) {
+            // Its connection ended between two lines of this: nobody may have seen the mark.
+            caller.make();
+        }
+        if (!heard.setUp(asked)) {
+            settled(line.connection.number(), asked.tag());
+            drops.count("no room for a set-up");
+            line.connection.send(Replies.plain(invite, 503, "No Room"));
+        }
     }
 
     private void wrong(Line line, Request request, String why) {
--- a/src/main/java/martenslip/platform/caller/Fit.java
+++ b/src/main/java/martenslip/platform/caller/Fit.java
@@ -7,6 +7,7 @@
 import martenslip.control.Span;
 import martenslip.platform.desk.SetUp;
 import martenslip.platform.desk.Terms;
+import martenslip.platform.desk.Withdrawal;
 import martenslip.sip.message.Request;
 
 /**
@@ -33,7 +34,7 @@
         this.terms = terms;
     }
 
-    SetUp setUp(long line, Request invite, Moment heardAt) throws Unfit {
+    SetUp setUp(long line, Request invite, Moment heardAt, Withdrawal caller) throws Unfit {
         String tag = invite.callId();
         if (!hex(tag)) {
             throw new Unfit("Call-ID is no id");
@@ -47,7 +48,7 @@
         if (at != null) {
             // Of one that stands nothing else is needed.
             return new SetUp(line, invite, tag, key, Math.max(0, skill), heardAt, Span.ZERO, 0, -1, 1, transit,
-                    again, at, "");
+                    again, at, "", caller);
         }
         if (skill < 0) {
             throw new Unfit("no such Call-Kind");
@@ -62,7 +63,7 @@
             throw new Unfit("the description is no text");
         }
         return new SetUp(line, invite, tag, key, skill, heardAt, Span.ofMillis(within), destination, hint, width,
-                transit, again, null, description);
+                transit, again, null, description, caller);
     }
 
     /** 16 hex digits. */
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -19,6 +19,7 @@
 import martenslip.control.Span;
 import martenslip.roll.LastWord;
 import martenslip.sip.message.Request;
+import martenslip.sip.transport.Queued;
 import martenslip.wheel.Wheel;
 
 /**
@@ -29,26 +30,8 @@
  * into a module that is amid another.
  */
 public final class Desk implements Orders {
-    /** How often releases are said again to callers who were not heard to take them, and how often at most. */
-    private static final Span AGAIN = Span.ofMillis(400);
-    private static final int MOST_SAID = 6;
-    private static final int MOST_RELEASES = 4096;
     private static final float[] NO_REPORT = {};
 
-    /** A release that a caller has not been heard to take. */
-    private static final class Release {
-        final String tag;
-        final byte[] message;
-        final long line;
-        int said;
-
-        Release(String tag, byte[] message, long line) {
-            this.tag = tag;
-            this.message = message;
-            this.line = line;
-        }
-    }
-
     private final Wheel wheel;
     private final Terms terms;
     private final Outward out;
@@ -56,7 +39,7 @@
     private final Map<Long, Taken> byId = new LinkedHashMap<>();
     private final Map<Long, Taken> ringing = new LinkedHashMap<>();
     private final Map<String, Taken> standing = new LinkedHashMap<>();
-    private final Map<String, Release> releases = new LinkedHashMap<>();
+    private final Releases releases;
     /** Sizes of the groups as they were told last. */
     private final Map<Long, Integer> sizes = new HashMap<>();
     private final ArrayDeque<Consumer<Controller>> news = new ArrayDeque<>();
@@ -70,6 +53,7 @@
         this.wheel = wheel;
         this.terms = terms;
         this.out = out;
+        releases = new Releases(wheel, out);
     }
 
     /** The module that was made with this desk as its orders. */
@@ -95,7 +79,7 @@
     }
 
     public int unheardReleases() {
-        return releases.size();
+        return releases.unheard();
     }
 
     /** From now on what comes is refused; what is open is answered in its own time. */
@@ -135,11 +119,18 @@
         }
         if (asked.standsAt() == null && (same != null || closing || byId.size() >= terms.mostOpen())) {
             counts.refusedUnseen++;
-            out.settled(asked.line());
+            out.settled(asked.line(), asked.tag());
             out.toCaller(asked.line(), same != null ? Replies.plain(asked.invite(), 482, "Loop Detected")
                     : Replies.deferred(asked.invite(), Span.ZERO));
             return;
         }
+        if (asked.caller().made()) {
+            // Nobody waits for it any more: what its caller said after it stands behind it in the inbox.
+            counts.callerGone++;
+            out.settled(asked.line(), asked.tag());
+            out.toCaller(asked.line(), Replies.plain(asked.invite(), 487, "Request Terminated"));
+            return;
+        }
         Taken one = new Taken(++ids, asked);
         byTag.put(one.tag, one);
         byId.put(one.id, one);
@@ -154,7 +145,7 @@
 
     /** A contact that stands already at a switch, as its caller says; no answer is expected. */
     public void stoodBefore(SetUp asked, long target) {
-        out.settled(asked.line());
+        out.settled(asked.line(), asked.tag());
         if (byTag.containsKey(asked.tag())) {
             return;
         }
@@ -164,7 +155,7 @@
         one.stands = true;
         one.acknowledged = true;
         one.stoodAt = wheel.now();
-        one.ring = new Taken.Ring(-1, target, 0, wheel.now());
+        one.ring = new Taken.Ring(-1, target, null, wheel.now());
         byTag.put(one.tag, one);
         standing.put(one.tag, one);
         counts.inherited++;
@@ -172,9 +163,9 @@
 
     /** One that names a switch that is nowhere: what it named is over. */
     public void stoodNowhere(SetUp asked) {
-        out.settled(asked.line());
+        out.settled(asked.line(), asked.tag());
         if (!byTag.containsKey(asked.tag())) {
-            release(asked.tag(), asked.key(), Ended.CUT, asked.line());
+            releases.release(asked.tag(), asked.key(), Ended.CUT, asked.line());
         }
     }
 
@@ -185,8 +176,13 @@
             return;
         }
         out.toCaller(line, Replies.plain(cancel, 200, "OK"));
+        leaves(one);
+    }
+
+    /** Its caller has cancelled, or is known to have gone before that was told here. */
+    private void leaves(Taken one) {
         if (one.open) {
-            out.toCaller(line, Replies.plain(one.asked.invite(), 487, "Request Terminated"));
+            out.toCaller(one.line, Replies.plain(one.asked.invite(), 487, "Request Terminated"));
             callerGone(one);
         }
     }
@@ -206,7 +202,7 @@
         }
         out.toCaller(line, Replies.plain(bye, 200, "OK"));
         if (one != null) {
-            out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
+            out.finish(one.ring.target, one.ring.connection(), one.tag, Ended.NORMAL, () -> { });
             standingOver(one, Cause.CALLED_OFF, NO_REPORT);
         } else {
             callerGone(early);
@@ -223,7 +219,7 @@
 
     /** The caller has taken a release, or knows nothing of it. */
     public void releaseHeard(String tag) {
-        releases.remove(tag);
+        releases.heard(tag);
     }
 
     public void lineOver(long line) {
@@ -243,7 +239,7 @@
         }
         // Its good answer may not have come through, and nobody else would ever release it.
         for (Taken one : unsure) {
-            out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
+            out.finish(one.ring.target, one.ring.connection(), one.tag, Ended.NORMAL, () -> { });
             release(one, Ended.CUT);
             standingOver(one, Cause.CALLED_OFF, NO_REPORT);
         }
@@ -253,7 +249,10 @@
 
     public void started(long target, long connection, String tag, String description) {
         Taken one = byTag.get(tag);
-        if (one == null || one.stands || one.ring == null || one.ring.target != target) {
+        if (one == null || one.stands || !out(one, target)) {
+            return;
+        }
+        if (one.ring.givenUp) {
             return;
         }
         if (description == null || !one.open) {
@@ -281,7 +280,14 @@
     public void ended(long target, long connection, String tag, int cause, String note, float[] report) {
         out.finished(target, connection, tag);
         Taken one = byTag.get(tag);
-        if (one == null || one.ring == null || one.ring.target != target) {
+        if (one == null || !out(one, target)) {
+            return;
+        }
+        if (one.ring.givenUp && !one.stands) {
+            // It crossed the end that is on its way there, which counts; what it says of circuits is true all the same.
+            if (report.length > 0) {
+                load(target, report);
+            }
             return;
         }
         if (one.stands) {
@@ -294,6 +300,12 @@
         }
     }
 
+    /** An answer counts for the attempt that is out; to one that was never written there is none. */
+    private static boolean out(Taken one, long target) {
+        return one.ring != null && one.ring.target == target && (one.ring.queued == null
+                || one.ring.queued.message().written());
+    }
+
     public void load(long target, float[] report) {
         told(target, report);
         tell(to -> to.reported(wheel.now(), target, true, Span.ZERO, report));
@@ -324,8 +336,10 @@
     /** A connection is over; the rings that went by it are given up, what stands is not touched. */
     public void connectionOver(long target, long connection, boolean everUp) {
         for (Taken one : List.copyOf(ringing.values())) {
-            if (one.ring.connection == connection) {
-                ringOver(one, everUp ? Cause.CUT : Cause.UNREACHABLE, Blame.NONE, NO_REPORT);
+            if (one.ring.connection() == connection) {
+                boolean never = one.ring.revoked();
+                ringOver(one, !everUp ? Cause.UNREACHABLE : never ? Cause.NOT_SENT : Cause.CUT, Blame.NONE,
+                        NO_REPORT);
             }
         }
     }
@@ -351,7 +365,7 @@
         one.open = false;
         one.lastWord.cancel();
         byId.remove(one.id);
-        out.settled(one.line);
+        out.settled(one.line, one.tag);
         if (one.ring == null) {
             byTag.remove(one.tag);
         }
@@ -372,10 +386,23 @@
         tell(to -> to.ringEnded(wheel.now(), end));
     }
 
-    /** Gives a ring up toward its switch. */
+    /**
+     * Gives a ring up toward its switch. One whose write has not begun is taken back: it was never sent, and the switch
+     * hears nothing of it. Of one that was, the end counts once it is written, as the release does that follows it.
+     */
     private void giveUp(Taken one, Cause cause) {
-        out.finish(one.ring.target, one.ring.connection, one.tag, Ended.NORMAL);
-        ringOver(one, cause, Blame.NONE, NO_REPORT);
+        Taken.Ring ring = one.ring;
+        if (ring.revoked()) {
+            ringOver(one, Cause.NOT_SENT, Blame.NONE, NO_REPORT);
+            return;
+        }
+        ring.limit.cancel();
+        ring.givenUp = true;
+        out.finish(ring.target, ring.connection(), one.tag, Ended.NORMAL, () -> {
+            if (one.ring == ring) {
+                ringOver(one, cause, Blame.NONE, NO_REPORT);
+            }
+        });
     }
 
     private void ringOver(Taken one, Cause cause, Blame blame, float[] report) {
@@ -402,34 +429,7 @@
     }
 
     private void release(Taken one, int cause) {
-        release(one.tag, one.key, cause, one.line);
-    }
-
-    private void release(String tag, String key, int cause, long line) {
-        if (releases.size() >= MOST_RELEASES) {
-            out.log("releases", "too many releases unheard, the oldest is dropped");
-            releases.remove(releases.keySet().iterator().next());
-        }
-        Release one = new Release(tag, Replies.release(tag, key, cause), line);
-        releases.put(tag, one);
-        say(one);
-    }
-
-    private void say(Release one) {
-        if (releases.get(one.tag) != one) {
-            return;
-        }
-        boolean own = one.said == 0 && out.toCaller(one.line, one.message);
-        long other = own ? 0 : out.anyLine();
-        if (other != 0) {
-            out.toCaller(other, one.message);
-        }
-        one.said += own || other != 0 ? 1 : 0;
-        if (one.said >= MOST_SAID) {
-            releases.remove(one.tag);
-            return;
-        }
-        wheel.after(AGAIN, () -> say(one));
+        releases.release(one.tag, one.key, cause, one.line);
     }
 
     // ---- what the module orders
@@ -444,17 +444,21 @@
         int number = one.rings++;
         counts.rings++;
         SetUp asked = one.asked;
-        long connection = out.start(target, one.tag, terms.skills().get(asked.skill()), limit.ns() / 1_000_000,
-                one.key, asked.description());
-        Taken.Ring ring = new Taken.Ring(number, target, connection, wheel.now());
+        Moment until = wheel.now().plus(limit);
+        Queued queued = asked.caller().made() ? null : out.start(target, new Start(one.tag,
+                terms.skills().get(asked.skill()), one.key, asked.description(), until, asked.caller()),
+                () -> unsent(one, number));
+        Taken.Ring ring = new Taken.Ring(number, target, queued, wheel.now());
         one.ring = ring;
         ringing.put(one.id, one);
-        ring.limit = wheel.after(limit, () -> {
+        ring.limit = wheel.at(until, () -> {
             if (one.ring == ring) {
                 giveUp(one, Cause.TIMED_OUT);
             }
         });
-        if (connection == 0) {
+        if (asked.caller().made()) {
+            news.add(to -> leaves(one));
+        } else if (queued == null) {
             news.add(to -> {
                 if (one.ring == ring) {
                     ringOver(one, Cause.UNREACHABLE, Blame.NONE, NO_REPORT);
@@ -463,18 +467,28 @@
         }
     }
 
+    /** An attempt's reason no longer held when its turn to be written came. */
+    private void unsent(Taken one, int number) {
+        if (one.ring != null && one.ring.number == number) {
+            ringOver(one, Cause.NOT_SENT, Blame.NONE, NO_REPORT);
+        }
+    }
+
     @Override
     public void callOff(long contact, int number) {
         Taken one = ringing.get(contact);
-        if (one == null || one.ring.number != number) {
+        if (one == null || one.ring.number != number || one.ring.givenUp) {
             return;
         }
         Taken.Ring ring = one.ring;
-        out.finish(ring.target, ring.connection, one.tag, Ended.NORMAL);
+        if (!ring.revoked()) {
+            out.finish(ring.target, ring.connection(), one.tag, Ended.NORMAL, () -> { });
+        }
+        ring.givenUp = true;
         // Called within the module: how it ended is told after, when it is known whether the contact is over.
         news.add(to -> {
             if (one.ring == ring) {
-                ringOver(one, Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
+                ringOver(one, ring.revoked() ? Cause.NOT_SENT : Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
             }
         });
     }
--- a/src/main/java/martenslip/platform/desk/Outward.java
+++ b/src/main/java/martenslip/platform/desk/Outward.java
@@ -1,5 +1,7 @@
 package martenslip.platform.desk;
 
+import martenslip.sip.transport.Queued;
+
 /** What the desk has sent. Nothing here waits; what fails at once is told by the result, what fails later as news. */
 public interface Outward {
     /** Toward a caller on its line; false where that is over. */
@@ -9,16 +11,22 @@
     long anyLine();
 
     /** The set-up of this line has its final answer. */
-    void settled(long line);
+    void settled(long line, String tag);
 
     /** Ends a line whose caller misbehaves. */
     void drop(long line, String why);
 
-    /** A set-up toward a switch; the number of the connection that takes it, or 0 where none can be had. */
-    long start(long target, String tag, String skill, long leftMs, String key, String description);
-
-    /** Gives a ring up, or releases what stands, on the connection if it is up, else on any. */
-    void finish(long target, long connection, String tag, int cause);
+    /**
+     * A set-up toward a switch, which can be taken back until its write begins; null where no connection can be had.
+     * {@code unsent} comes as news where its reason no longer held by then.
+     */
+    Queued start(long target, Start start, Runnable unsent);
+
+    /**
+     * Gives a ring up, or releases what stands, on the connection if it is up, else on any. {@code written} comes as
+     * news once it has been written or can't be any more.
+     */
+    void finish(long target, long connection, String tag, int cause, Runnable written);
 
     /** Says that a release was heard. */
     void finished(long target, long connection, String tag);
--- /dev/null
+++ b/src/main/java/martenslip/platform/desk/Releases.java
@@ -0,0 +1,76 @@
+package martenslip.platform.desk;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import martenslip.control.Span;
+import martenslip.wheel.Wheel;
+
+/**
+ * Releases toward callers of what stood and is over: said on the connection of the set-up, else on any caller's, and
+ * again until they are heard. The deciding thread's.
+ */
+final class Releases {
+    /** How often releases are said again to callers who were not heard to take them, and how often at most. */
+    private static final Span AGAIN = Span.ofMillis(400);
+    private static final int MOST_SAID = 6;
+    private static final int MOST_RELEASES = 4096;
+
+    /** A release that a caller has not been heard to take. */
+    private static final class Release {
+        final String tag;
+        final byte[] message;
+        final long line;
+        int said;
+
+        Release(String tag, byte[] message, long line) {
+            this.tag = tag;
+            this.message = message;
+            this.line = line;
+        }
+    }
+
+    private final Wheel wheel;
+    private final Outward out;
+    private final Map<String, Release> unheard = new LinkedHashMap<>();
+
+    Releases(Wheel wheel, Outward out) {
+        this.wheel = wheel;
+        this.out = out;
+    }
+
+    int unheard() {
+        return unheard.size();
+    }
+
+    /** The caller has taken it, or knows nothing of it. */
+    void heard(String tag) {
+        unheard.remove(tag);
+    }
+
+    void release(String tag, String key, int cause, long line) {
+        if (unheard.size() >= MOST_RELEASES) {
+            out.log("releases", "too many releases unheard, the oldest is dropped");
+            unheard.remove(unheard.keySet().iterator().next());
+        }
+        Release one = new Release(tag, Replies.release(tag, key, cause), line);
+        unheard.put(tag, one);
+        say(one);
+    }
+
+    private void say(Release one) {
+        if (unheard.get(one.tag) != one) {
+            return;
+        }
+        boolean own = one.said == 0 && out.toCaller(one.line, one.message);
+        long other = own ? 0 : out.anyLine();
+        if (other != 0) {
+            out.toCaller(other, one.message);
+        }
+        one.said += own || other != 0 ? 1 : 0;
+        if (one.said >= MOST_SAID) {
+            unheard.remove(one.tag);
+            return;
+        }
+        wheel.after(AGAIN, () -> say(one));
+    }
+}
--- /dev/null
+++ b/src/main/java/martenslip/platform/desk/Start.java
@@ -0,0 +1,10 @@
+package martenslip.platform.desk;
+
+import martenslip.control.Moment;
+
+/**
+ * A set-up toward a switch as it waits to be written: not after {@code until}, which {@code left} is counted to at that
+ * moment, and not once its caller has gone.
+ */
+public record Start(String tag, String skill, String key, String description, Moment until, Withdrawal caller) {
+}
--- a/src/main/java/martenslip/platform/desk/Taken.java
+++ b/src/main/java/martenslip/platform/desk/Taken.java
@@ -1,6 +1,7 @@
 package martenslip.platform.desk;
 
 import martenslip.control.Moment;
+import martenslip.sip.transport.Queued;
 import martenslip.wheel.Wheel;
 
 /**
@@ -8,20 +9,30 @@
  * good. It may outlast its answer with a ring still out.
  */
 final class Taken {
-    /** A ring that is out; {@code connection} is 0 once the contact was inherited and none is known. */
+    /** A ring that is out; {@code queued} is null where no connection could be had, or none is known. */
     static final class Ring {
         final int number;
         final long target;
-        final long connection;
+        final Queued queued;
         final Moment begun;
         Wheel.Timer limit;
+        boolean givenUp;
 
-        Ring(int number, long target, long connection, Moment begun) {
+        Ring(int number, long target, Queued queued, Moment begun) {
             this.number = number;
             this.target = target;
-            this.connection = connection;
+            this.queued = queued;
             this.begun = begun;
         }
+
+        long connection() {
+            return queued == null ? 0 : queued.connection();
+        }
+
+        /** Takes it back; true where not a byte of it has been or will be written. */
+        boolean revoked() {
+            return queued == null || queued.message().revoke();
+        }
     }
 
     final long id;
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -15,7 +15,11 @@
 import martenslip.pulse.Pulse;
 import martenslip.sip.transport.Bounds;
 import martenslip.sip.transport.Connection;
+import martenslip.platform.desk.Start;
 import martenslip.sip.transport.Drops;
+import martenslip.sip.transport.Outgoing;
+import martenslip.sip.transport.Queued;
+import martenslip.sip.transport.Revocable;
 import martenslip.sip.transport.Writers;
 import martenslip.wheel.Wheel;
 
@@ -91,6 +95,8 @@
         final Map<String, Unheard> releases = new LinkedHashMap<>();
         boolean listed = true;
         boolean drains;
+        /** Listed and not draining; who writes looks at it. */
+        volatile boolean takesNew = true;
         Span pause = Span.ZERO;
         boolean waiting;
         boolean failed;
@@ -136,6 +142,7 @@
         }
         far.listed = true;
         far.drains = drains;
+        far.takesNew = !drains;
         far.pulse.listed(true);
         fill(far);
     }
@@ -145,6 +152,7 @@
         Far far = fars.get(id);
         if (far != null) {
             far.listed = false;
+            far.takesNew = false;
             far.pulse.listed(false);
         }
     }
@@ -227,42 +235,58 @@
         }
     }
 
-    /** Sends a set-up; the number of the connection that takes it, or 0. */
-    public long start(long target, String tag, String skill, long leftMs, String key, String description) {
+    /**
+     * Queues a set-up; null where no connection takes it. One that is up is preferred to one that is yet to come up,
+     * but on either it may wait, so its reason is looked at once more when it is written. {@code unsent} is run by the
+     * deciding thread where it no longer held.
+     */
+    public Queued start(long target, Start start, Runnable unsent) {
         Far far = fars.get(target);
         if (far == null) {
-            return 0;
+            return null;
         }
-        byte[] line = SwitchSays.start(tag, skill, leftMs, key, description);
+        Revocable message = new Revocable(SwitchSays.STARTS_AT_MOST + 2 * start.description().length(),
+                () -> due(far, start), () -> put(unsent));
         for (boolean up : new boolean[] {true, false}) {
             for (Link link : far.links) {
-                if (link.up == up && link.connection.send(line)) {
-                    return link.connection.number();
+                if (link.up == up && link.connection.send(message)) {
+                    return new Queued(link.connection.number(), message);
                 }
             }
         }
-        return 0;
+        return null;
+    }
+
+    /** What a set-up reads as when it is written, or null where there is nothing left to ask for. */
+    private static byte[] due(Far far, Start start) {
+        Span left = start.until().since(new Moment(System.nanoTime()));
+        boolean due = !start.caller().made() && far.takesNew && left.longerThan(Span.ZERO);
+        return due ? SwitchSays.start(start.tag(), start.skill(), left.ns() / 1_000_000, start.key(),
+                start.description()) : null;
     }
 
-    public void finish(long target, long connection, String tag, int cause) {
+    /** {@code written} is run by the deciding thread once it has been written, or can't be any more. */
+    public void finish(long target, long connection, String tag, int cause, Runnable written) {
+        Outgoing message = Outgoing.of(SwitchSays.finish(tag, cause), () -> put(written));
         Far far = fars.get(target);
         if (far == null) {
+            message.done();
             return;
         }
         if (far.releases.size() >= MOST_UNHEARD) {
             far.releases.remove(far.releases.keySet().iterator().next());
         }
         far.releases.put(tag, new Unheard(cause, wheel.now()));
-        byte[] line = SwitchSays.finish(tag, cause);
         Link own = links.get(connection);
-        if (own != null && own.connection.send(line)) {
+        if (own != null && own.connection.send(message)) {
             return;
         }
         for (Link link : far.links) {
-            if (link.up && link.connection.send(line)) {
+            if (link.up && link.connection.send(message)) {
                 return;
             }
         }
+        message.done();
     }
 
     public void finished(long target, long connection, String tag) {
@@ -310,15 +334,16 @@
             put(() -> over(connection, why));
         }
 
-        private void put(Runnable what) {
-            try {
-                turn.run(what);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
     };
 
+    private void put(Runnable what) {
+        try {
+            turn.run(what);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void opened(long number) {
         Link link = links.get(number);
         if (link == null) {
--- a/src/main/java/martenslip/platform/switchline/SwitchSays.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchSays.java
@@ -9,6 +9,8 @@
 
 /** One line of a switch: the type, the id, what it carries of the fields that count here, cause and description. */
 record SwitchSays(String verb, String tag, String load, String note, int cause, String description) {
+    /** All of a set-up toward a switch but its description: names of classes are short. */
+    static final int STARTS_AT_MOST = 256;
     private static final byte[] STATE = "\"LOAD\"".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
 
     /** True where the type can only be the state of a group: a quote in a text is written with a stroke before it. */
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -36,7 +36,7 @@
     private final Socket socket;
     private final Cutter cutter;
     private final Writers writers;
-    private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
+    private final ArrayDeque<Outgoing> unsent = new ArrayDeque<>();
     private int unsentBytes;
     private long writingSince;
     private boolean up;
@@ -139,14 +139,42 @@
         }
     }
 
-    private void write(byte[] next) throws IOException {
-        socket.getOutputStream().write(next);
-        synchronized (this) {
-            unsentBytes -= next.length;
-            writingSince = 0;
+    /** Writes what these still have to say, in one piece: a turn of the deciding thread says several things to a peer. */
+    private void write(List<Outgoing> next) throws IOException {
+        // Not under the lock: what an order finds out about its reason may make this thread wait.
+        List<byte[]> parts = new ArrayList<>(next.size());
+        for (Outgoing one : next) {
+            byte[] part = one.bytes();
+            if (part != null) {
+                parts.add(part);
+            }
+        }
+        try {
+            if (!parts.isEmpty()) {
+                socket.getOutputStream().write(joined(parts));
+            }
+        } finally {
+            synchronized (this) {
+                next.forEach(one -> unsentBytes -= one.size());
+                writingSince = 0;
+            }
+            next.forEach(Outgoing::done);
         }
     }
 
+    private static byte[] joined(List<byte[]> parts) {
+        if (parts.size() == 1) {
+            return parts.get(0);
+        }
+        byte[] whole = new byte[parts.stream().mapToInt(part -> part.length).sum()];
+        int at = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, whole, at, part.length);
+            at += part.length;
+        }
+        return whole;
+    }
+
     private void writeIfNeeded() {
         if (up && !closed && !writing && !unsent.isEmpty()) {
             writing = true;
@@ -154,34 +182,30 @@
         }
     }
 
-    /** All that is unsent, in one piece: a turn of the deciding thread says several things to one peer. */
     private void writeAll() {
         try {
-            for (byte[] next = all(); next != null; next = all()) {
+            for (List<Outgoing> next = all(); !next.isEmpty(); next = all()) {
                 write(next);
             }
         } catch (IOException e) {
             close(String.valueOf(e.getMessage()));
+        } catch (RuntimeException e) {
+            // A fault of the program with one message must not cost the thread that writes for all.
+            close("fault: " + e);
         }
     }
 
-    private synchronized byte[] all() {
+    /** All that is unsent; none where there is nothing, and then this thread no longer writes. */
+    private synchronized List<Outgoing> all() {
         if (unsent.isEmpty() || closed) {
             writing = false;
             notifyAll();
-            return null;
+            return List.of();
         }
         writingSince = System.nanoTime();
-        if (unsent.size() == 1) {
-            return unsent.poll();
-        }
-        byte[] whole = new byte[unsentBytes];
-        int at = 0;
-        for (byte[] next = unsent.poll(); next != null; next = unsent.poll()) {
-            System.arraycopy(next, 0, whole, at, next.length);
-            at += next.length;
-        }
-        return whole;
+        List<Outgoing> next = List.copyOf(unsent);
+        unsent.clear();
+        return next;
     }
 
     /** Ends it once all that was queued is written, or after a bounded wait; the caller must be able to wait. */
@@ -189,7 +213,7 @@
         long until = System.nanoTime() + atMost.ns();
         try {
             synchronized (this) {
-                for (long left = atMost.ns(); left > 0 && !closed && unsentBytes > 0; left = until - System.nanoTime()) {
+                for (long left = atMost.ns(); left > 0 && !closed && unsentBytes > 0 && up; left = until - System.nanoTime()) {
                     wait(Math.max(1, left / 1_000_000));
                 }
             }
@@ -202,21 +226,25 @@
         close(why);
     }
 
-    /** Queues a message; false where the connection is over, or now is as its peer doesn't read. */
     public boolean send(byte[] bytes) {
+        return send(Outgoing.of(bytes));
+    }
+
+    /** Queues a message; false where the connection is over, or now is as its peer doesn't read. */
+    public boolean send(Outgoing message) {
         String why = null;
         synchronized (this) {
             if (closed) {
                 return false;
             }
             long stuck = writingSince == 0 ? 0 : System.nanoTime() - writingSince;
-            if (unsentBytes + bytes.length > bounds.unsent()) {
+            if (unsentBytes + message.size() > bounds.unsent()) {
                 why = "peer leaves " + unsentBytes + " bytes unread";
             } else if (up && stuck > bounds.stuck().ns()) {
                 why = "peer has read nothing for " + stuck / 1_000_000 + " ms";
             } else {
-                unsent.add(bytes);
-                unsentBytes += bytes.length;
+                unsent.add(message);
+                unsentBytes += message.size();
                 if (writers != null) {
                     writeIfNeeded();
                 } else {
@@ -230,11 +258,14 @@
     }
 
     public void close(String why) {
+        List<Outgoing> never;
         synchronized (this) {
             if (closed) {
                 return;
             }
             closed = true;
+            never = List.copyOf(unsent);
+            unsent.clear();
             notifyAll();
         }
         try {
@@ -243,6 +274,7 @@
             why = why + ", " + e.getMessage();
         }
         events.ended(this, why);
+        never.forEach(Outgoing::done);
     }
 
     /** Ends it with a reset in place of an orderly end, for stand-ins. */
@@ -262,8 +294,8 @@
                 connect();
                 startReading(Thread.currentThread().getName());
             }
-            for (byte[] next = take(); next != null; next = take()) {
-                write(next);
+            for (Outgoing next = take(); next != null; next = take()) {
+                write(List.of(next));
             }
         } catch (IOException e) {
             close(String.valueOf(e.getMessage()));
@@ -272,7 +304,7 @@
         }
     }
 
-    private synchronized byte[] take() throws InterruptedException {
+    private synchronized Outgoing take() throws InterruptedException {
         while (unsent.isEmpty() && !closed) {
             wait();
         }
--- a/src/test/java/martenslip/platform/caller/CallersTest.java
+++ b/src/test/java/martenslip/platform/caller/CallersTest.java
@@ -29,18 +29,20 @@
             100_000, Span.ofMillis(3000), Span.ofMillis(500));
     private final LinkedBlockingQueue<SetUp> heard = new LinkedBlockingQueue<>();
     private CountDownLatch go;
+    private volatile boolean full;
     private Callers callers;
     private InetSocketAddress at;
 
     @BeforeMethod
     public void open() throws IOException {
         heard.clear();
+        full = false;
         go = new CountDownLatch(1);
         callers = new Callers(new Terms(List.of("dear"), 10, Span.ofMillis(9000), Span.ofMillis(20)), TWO,
                 new Writers("test", 4), new Drops(), new Callers.Heard() {
                     @Override
-                    public void setUp(SetUp asked) {
-                        heard.add(asked);
+                    public boolean setUp(SetUp asked) {
+                        return !full && heard.add(asked);
                     }
 
                     @Override
--- a/src/test/java/martenslip/platform/caller/FitTest.java
+++ b/src/test/java/martenslip/platform/caller/FitTest.java
@@ -8,6 +8,7 @@
 import martenslip.control.Span;
 import martenslip.platform.desk.SetUp;
 import martenslip.platform.desk.Terms;
+import martenslip.platform.desk.Withdrawal;
 import martenslip.sip.message.Headers;
 import martenslip.sip.message.Request;
 import org.testng.annotations.DataProvider;
@@ -34,9 +35,10 @@
     }
 
     private SetUp read(Request request) throws Fit.Unfit {
-        return fit.setUp(4, request, new Moment(5));
+        return fit.setUp(4, request, new Moment(5), CALLER);
     }
 
+    private static final Withdrawal CALLER = new Withdrawal();
     private static final String TAG = "9b1f03aa5c7e2d41";
     private static final String URI = "sip:ff3a9c21e0b4d655@net";
 
@@ -44,7 +46,7 @@
     public void figuresAreReadForWhatTheyAre() throws Fit.Unfit {
         SetUp asked = read(invite(TAG, URI, "text", "1500", "dest:2;width:1;via:-1;transit:1;again:1"));
         assertEquals(asked, new SetUp(4, asked.invite(), TAG, "ff3a9c21e0b4d655", 1, new Moment(5),
-                Span.ofMillis(1500), 2, -1, 1, true, true, null, "c=\r\n"));
+                Span.ofMillis(1500), 2, -1, 1, true, true, null, "c=\r\n", CALLER));
     }
 
     @Test
--- a/src/test/java/martenslip/platform/desk/DeskTest.java
+++ b/src/test/java/martenslip/platform/desk/DeskTest.java
@@ -145,6 +145,98 @@
         assertEquals(tiny.told(), List.of("end 1 0 CALLED_OFF NONE true"));
     }
 
+    /** Suspect of the fleet's trial: START was written once the connection came up, its caller long gone. */
+    @Test
+    public void anAttemptNotYetWrittenIsTakenBackWithItsCaller() {
+        tiny.held = true;
+        rung();
+        desk.withdrawn(1, request("CANCEL", 1));
+        desk.tell(to -> desk.callOff(1, 0));
+        assertEquals(tiny.sent(), List.of("1: 200 CANCEL", "1: 487 INVITE"));
+        assertEquals(tiny.told(), List.of("gone 1", "end 1 0 NOT_SENT NONE true"));
+        tiny.write();
+        assertEquals(tiny.sent(), List.of(), "neither START nor FINISH");
+        assertEquals(desk.known(), List.of());
+    }
+
+    @Test
+    public void anAttemptThatTimesOutUnwrittenWasNeverSent() {
+        tiny.held = true;
+        rung();
+        tiny.at(2991);
+        tiny.write();
+        assertEquals(tiny.sent(), List.of());
+        assertEquals(tiny.told(), List.of("end 1 0 NOT_SENT NONE false"));
+    }
+
+    @Test
+    public void aConnectionThatEndsWithTheAttemptUnwrittenCutsNothing() {
+        tiny.held = true;
+        rung();
+        desk.connectionOver(SWITCH, LINK, true);
+        assertEquals(tiny.told(), List.of("end 1 0 NOT_SENT NONE false"));
+        assertEquals(tiny.sent(), List.of());
+    }
+
+    @Test
+    public void anAnswerToAnAttemptThatWasNeverWrittenIsNone() {
+        tiny.held = true;
+        rung();
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        desk.ended(SWITCH, LINK, tag(1), 17, null, NONE);
+        assertEquals(tiny.sent(), List.of());
+        assertEquals(tiny.told(), List.of());
+    }
+
+    /** The reader has seen the caller's end, and the news of it waits behind what comes first here. */
+    @Test
+    public void nothingGoesOutForACallerWhoseEndStillWaitsInTheInbox() {
+        desk.setUp(tiny.asked(1, 1, 3000));
+        tiny.caller.make();
+        tiny.told();
+        desk.tell(to -> desk.ring(1, SWITCH, Span.ofMillis(2990)));
+        assertEquals(tiny.sent(), List.of("1: 487 INVITE"));
+        assertEquals(tiny.told(), List.of("gone 1"));
+        desk.tell(to -> desk.callOff(1, 0));
+        assertEquals(tiny.sent(), List.of());
+        desk.lineOver(1);
+        assertEquals(desk.known(), List.of());
+    }
+
+    @Test
+    public void aSetUpWhoseCallerHasGoneIsNotOffered() {
+        SetUp asked = ask(1, 1, 3000);
+        asked.caller().make();
+        desk.setUp(asked);
+        assertEquals(tiny.told(), List.of());
+        assertEquals(tiny.sent(), List.of("1: 487 INVITE"));
+        assertEquals(desk.known(), List.of());
+    }
+
+    @Test
+    public void aReasonThatFellAwayAsItsTurnCameIsNews() {
+        tiny.held = true;
+        rung();
+        tiny.caller.make();
+        tiny.write();
+        assertEquals(tiny.sent(), List.of());
+        assertEquals(tiny.told(), List.of("end 1 0 NOT_SENT NONE false"));
+    }
+
+    /** Rule 5: the release counts from the end that was written, not from the one that was ordered. */
+    @Test
+    public void anEndThatIsHeldUpIsToldOnceItIsWritten() {
+        rung();
+        tiny.heldEnds = true;
+        desk.started(SWITCH, LINK, tag(1), null);
+        assertEquals(tiny.sent(), List.of("FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of());
+        desk.ended(SWITCH, LINK, tag(1), 34, "no_circuit", NONE);
+        assertEquals(tiny.told(), List.of(), "it crossed the end that is on its way");
+        tiny.written();
+        assertEquals(tiny.told(), List.of("end 1 0 CUT NONE false"));
+    }
+
     @Test
     public void anotherLineCantWithdrawAContact() {
         rung();
@@ -288,7 +380,7 @@
     @Test
     public void anInheritedContactIsReleasedLikeOthersAndNoNewsOfTheModule() {
         SetUp asked = new SetUp(3, request("INVITE", 4), tag(4), "00000000000000aa", 0, new Moment(0), Span.ZERO, 0,
-                -1, 1, false, false, "s-1", "");
+                -1, 1, false, false, "s-1", "", new Withdrawal());
         desk.stoodBefore(asked, SWITCH);
         desk.stoodBefore(asked, SWITCH);
         assertEquals(desk.standing(), 1);
--- a/src/test/java/martenslip/platform/desk/DeskWorld.java
+++ b/src/test/java/martenslip/platform/desk/DeskWorld.java
@@ -16,6 +16,8 @@
 import martenslip.sip.message.Parser;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
+import martenslip.sip.transport.Queued;
+import martenslip.sip.transport.Revocable;
 import martenslip.wheel.Wheel;
 
 /**
@@ -132,7 +134,7 @@
         callers.put(tag, true);
         rules.taken(tag, wheel.now().plus(PATIENCE).plus(SLACK));
         desk.setUp(new SetUp(1, TinyDesk.request("INVITE", number), tag, "00000000000000aa", number % 2, wheel.now(),
-                PATIENCE, 1, -1, 1, false, false, null, "v=0"));
+                PATIENCE, 1, -1, 1, false, false, null, "v=0", new Withdrawal()));
     }
 
     private void stands(String tag, long target) {
@@ -210,7 +212,7 @@
     }
 
     @Override
-    public void settled(long line) {
+    public void settled(long line, String tag) {
         // Nothing here counts what a line has open.
     }
 
@@ -220,18 +222,21 @@
     }
 
     @Override
-    public long start(long target, String tag, String skill, long leftMs, String key, String description) {
-        rules.ring(wheel.now(), "0", tag, target);
-        ringing.put(tag, target);
-        return LINK;
+    public Queued start(long target, Start start, Runnable unsent) {
+        rules.ring(wheel.now(), "0", start.tag(), target);
+        ringing.put(start.tag(), target);
+        Revocable message = new Revocable(0, () -> new byte[0], unsent);
+        message.bytes();
+        return new Queued(LINK, message);
     }
 
     @Override
-    public void finish(long target, long connection, String tag, int cause) {
+    public void finish(long target, long connection, String tag, int cause, Runnable written) {
         if (ringing.remove(tag) != null) {
             rules.ended(wheel.now(), tag, true);
         }
         standing.remove(tag);
+        written.run();
     }
 
     @Override
--- a/src/test/java/martenslip/platform/desk/TinyDesk.java
+++ b/src/test/java/martenslip/platform/desk/TinyDesk.java
@@ -16,6 +16,8 @@
 import martenslip.sip.message.Parser;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
+import martenslip.sip.transport.Queued;
+import martenslip.sip.transport.Revocable;
 import martenslip.wheel.Wheel;
 
 /** A desk on driven time. What it sends and what it tells a module that decides nothing is kept as lines of text. */
@@ -29,6 +31,11 @@
     final Set<Long> closed = new HashSet<>();
     final Desk desk = new Desk(wheel, TERMS, this);
     boolean unreachable;
+    /** What is queued stays so until {@link #write}, ends until {@link #written}. */
+    boolean held;
+    boolean heldEnds;
+    private final List<Revocable> waiting = new ArrayList<>();
+    private final List<Runnable> ends = new ArrayList<>();
     long any = 1;
 
     TinyDesk() {
@@ -45,9 +52,18 @@
         return new Request(method, "sip:00000000000000aa@net", headers);
     }
 
+    /** Whether callers have gone, of the set-up that was asked for last. */
+    Withdrawal caller;
+
+    SetUp asked(long line, int number, double ms) {
+        SetUp asked = ask(line, number, ms);
+        caller = asked.caller();
+        return asked;
+    }
+
     static SetUp ask(long line, int number, double ms) {
         return new SetUp(line, request("INVITE", number), tag(number), "00000000000000aa", 1, new Moment(0),
-                Span.ofMillis(ms), 2, -1, 1, false, false, null, "v=0\r\n");
+                Span.ofMillis(ms), 2, -1, 1, false, false, null, "v=0\r\n", new Withdrawal());
     }
 
     TinyDesk at(double ms) {
@@ -95,7 +111,7 @@
     }
 
     @Override
-    public void settled(long line) {
+    public void settled(long line, String tag) {
         // Counted by the lines; nothing that the desk is judged by.
     }
 
@@ -106,14 +122,47 @@
     }
 
     @Override
-    public long start(long target, String tag, String skill, long leftMs, String key, String description) {
-        sent.add("START " + target + " " + Long.parseLong(tag, 16) + " " + skill + " " + leftMs + " " + description);
-        return unreachable ? 0 : LINK;
+    public Queued start(long target, Start start, Runnable unsent) {
+        caller = start.caller();
+        long left = start.until().since(wheel.now()).ns() / 1_000_000;
+        Revocable message = new Revocable(0, () -> {
+            if (start.caller().made()) {
+                return null;
+            }
+            sent.add("START " + target + " " + Long.parseLong(start.tag(), 16) + " " + start.skill() + " " + left
+                    + " " + start.description());
+            return new byte[0];
+        }, unsent);
+        if (unreachable) {
+            return null;
+        }
+        waiting.add(message);
+        if (!held) {
+            write();
+        }
+        return new Queued(LINK, message);
+    }
+
+    /** The connection's writer comes to all that was queued. */
+    void write() {
+        List<Revocable> now = List.copyOf(waiting);
+        waiting.clear();
+        now.forEach(Revocable::bytes);
     }
 
     @Override
-    public void finish(long target, long connection, String tag, int cause) {
+    public void finish(long target, long connection, String tag, int cause, Runnable written) {
         sent.add("FINISH " + target + " " + connection + " " + Long.parseLong(tag, 16) + " " + cause);
+        ends.add(written);
+        if (!heldEnds) {
+            written();
+        }
+    }
+
+    void written() {
+        List<Runnable> now = List.copyOf(ends);
+        ends.clear();
+        now.forEach(Runnable::run);
     }
 
     @Override
