Crossings of a departing caller, a drain and a held writer forced over loopback sockets

Gates in the sockets toward switches (connect, write) hold an order while its caller cancels, says BYE, ends or resets its connection, while its time runs out, or while the list says that the switch drains. A BYE before the answer also answers the pending INVITE with 487 now (RFC 3261 15.1.2).

--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -3,11 +3,15 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import martenslip.control.Maker;
 import martenslip.control.Moment;
 import martenslip.control.Span;
@@ -70,6 +74,11 @@
 
     /** The log goes to {@code out}; an exception names the path in the file and the reason. */
     public Serve(Path file, Maker maker, PrintStream out) throws IOException {
+        this(file, maker, out, Socket::new);
+    }
+
+    /** {@code sockets} makes those toward switches, not yet connected. */
+    Serve(Path file, Maker maker, PrintStream out, Supplier<Socket> sockets) throws IOException {
         this.file = file;
         log = new Log(out);
         start = Placement.read(file);
@@ -83,7 +92,7 @@
         Span idle = span(settings, "policy-limits.conn-idle-ns", 600e9);
         Bounds toSwitches = new Bounds(256, idle.times(2), idle.times(2), Span.ofMillis(400), 256 * 1024,
                 Span.ofMillis(3000), connect);
-        switches = new SwitchLines(toSwitches, writers, wheel,
+        switches = new SwitchLines(toSwitches, sockets, writers, wheel,
                 new Load(Arrays.asList(settings.getOrDefault("report.fields", "").split(","))), drops, this::turn,
                 fromSwitches);
         desk = new Desk(wheel, terms, outward);
@@ -405,6 +414,32 @@
         return Path.of(file);
     }
 
+    /** For checks: looks until it holds; a step at a time on the deciding thread, so that what is queued comes first. */
+    void awaits(BooleanSupplier held) throws InterruptedException {
+        AtomicBoolean holds = new AtomicBoolean();
+        for (long begun = System.nanoTime(); !holds.get(); ) {
+            CountDownLatch looked = new CountDownLatch(1);
+            turn(() -> {
+                holds.set(held.getAsBoolean());
+                looked.countDown();
+            });
+            looked.await();
+            if (System.nanoTime() - begun > 10_000_000_000L) {
+                throw new IllegalStateException("it never held");
+            }
+        }
+    }
+
+    /** For checks; the deciding thread's. */
+    int openSetUps() {
+        return desk.open();
+    }
+
+    /** Of the last event of the list that was taken. */
+    long position() {
+        return journal.position();
+    }
+
     InetSocketAddress listens() {
         return new InetSocketAddress(start.listen().getAddress(), port);
     }
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -205,7 +205,8 @@
             out.finish(one.ring.target, one.ring.connection(), one.tag, Ended.NORMAL, () -> { });
             standingOver(one, Cause.CALLED_OFF, NO_REPORT);
         } else {
-            callerGone(early);
+            // RFC 3261 15.1.2: what is pending is still answered.
+            leaves(early);
         }
     }
 
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.pulse.Pulse;
@@ -111,6 +112,7 @@
     }
 
     private final Bounds bounds;
+    private final Supplier<Socket> sockets;
     private final Writers writers;
     private final Wheel wheel;
     private final Turn turn;
@@ -122,8 +124,11 @@
     private long numbers;
     private boolean closing;
 
-    public SwitchLines(Bounds bounds, Writers writers, Wheel wheel, Load loads, Drops drops, Turn turn, Heard heard) {
+    /** {@code sockets} makes one not yet connected for each connection. */
+    public SwitchLines(Bounds bounds, Supplier<Socket> sockets, Writers writers, Wheel wheel, Load loads, Drops drops,
+                       Turn turn, Heard heard) {
         this.bounds = bounds;
+        this.sockets = sockets;
         this.writers = writers;
         this.wheel = wheel;
         this.loads = loads;
@@ -206,7 +211,7 @@
     }
 
     private boolean open(Far far) {
-        Connection connection = new Connection(++numbers, new Socket(), far.at, false, bounds, events,
+        Connection connection = new Connection(++numbers, sockets.get(), far.at, false, bounds, events,
                 new LineCutter(), writers);
         Link link = new Link(connection, far);
         links.put(connection.number(), link);
--- /dev/null
+++ b/src/test/java/martenslip/platform/CrossingTest.java
@@ -0,0 +1,173 @@
+package martenslip.platform;
+
+import static martenslip.platform.StandIn.event;
+import static martenslip.platform.StandIn.line;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import martenslip.Logic;
+import martenslip.platform.StandIn.Line;
+import martenslip.platform.StandIn.Machine;
+import martenslip.platform.StandIn.Said;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Crossings forced over loopback: an order waits at a gate, and something comes before it is written. */
+public class CrossingTest {
+    private static final String TAG = "9b1f03aa5c7e2d41";
+    private static final String OTHER = "9b1f03aa5c7e2d42";
+    private static final String LAST = "9b1f03aa5c7e2d43";
+    private final GatedSockets sockets = new GatedSockets();
+    private StandIn world;
+    private List<Machine> machines;
+    private StandIn.Feed feed;
+    private Serve serve;
+
+    @BeforeMethod
+    public void begin() throws IOException {
+        sockets.open();
+        world = new StandIn();
+        machines = world.machines(2);
+        feed = world.new Feed();
+        String list = event(1, true, line("s-0", machines.get(0).port(), 0, "up"),
+                line("s-1", machines.get(1).port(), 1, "up"));
+        feed.tell(list);
+        serve = new Serve(StandIn.written(StandIn.placement(feed.port(), list)), Logic::new,
+                new PrintStream(OutputStream.nullOutputStream()), sockets);
+        serve.open();
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        sockets.open();
+        serve.close();
+        world.close();
+    }
+
+    /** What ends a set-up for its caller. */
+    enum Leaves { CANCEL, BYE, END, RESET }
+
+    @DataProvider
+    public Object[][] leaves() {
+        return new Object[][] {{Leaves.CANCEL}, {Leaves.BYE}, {Leaves.END}, {Leaves.RESET}};
+    }
+
+    private void leave(Line line, Leaves how) throws IOException {
+        switch (how) {
+            case CANCEL, BYE -> {
+                line.say(Line.message(how.name(), TAG, "", ""));
+                assertTrue(line.next().contains(" 200 "));
+                assertTrue(line.next().contains(" 487 "));
+            }
+            case END -> line.socket.close();
+            case RESET -> {
+                line.socket.setSoLinger(true, 0);
+                line.socket.close();
+            }
+        }
+    }
+
+    /** Waits until the controller knows of no open set-up: then whatever ended it has been decided about. */
+    private void nothingOpen() throws Exception {
+        serve.awaits(() -> serve.openSetUps() == 0);
+    }
+
+    /** A set-up for another is the mark: by one connection, what was queued before it is read before it. */
+    private void nextStartIs(String tag) throws Exception {
+        Line other = world.new Line(serve.listens());
+        other.invite(tag, "dear", 3000, "m=audio");
+        Said first = machines.get(1).said.poll(10, java.util.concurrent.TimeUnit.SECONDS);
+        assertTrue(first != null, "no START came");
+        assertEquals(first.verb() + " " + first.tag(), "START " + tag, "something went out for a caller who has gone");
+        first.started("m=audio 1");
+        assertTrue(other.next().startsWith("SIP/2.0 200 "));
+    }
+
+    @Test(dataProvider = "leaves")
+    public void nothingIsWrittenForACallerWhoLeftWhileTheWriterWasHeld(Leaves how) throws Exception {
+        Line line = StandIn.ready(world, serve);
+        Line first = world.new Line(serve.listens());
+        sockets.write.shut();
+        // This one's START has begun: it holds the writer, and is an attempt like any other.
+        first.invite(OTHER, "dear", 3000, "m=audio");
+        sockets.write.awaits(1);
+        line.invite(TAG, "dear", 3000, "m=audio");
+        serve.awaits(() -> serve.openSetUps() == 2);
+        leave(line, how);
+        serve.awaits(() -> serve.openSetUps() == 1);
+        sockets.write.open();
+        Said begun = machines.get(1).next("START");
+        assertEquals(begun.tag(), OTHER);
+        begun.started("m=audio 0");
+        assertTrue(first.next().startsWith("SIP/2.0 200 "));
+        nextStartIs(LAST);
+    }
+
+    @Test(dataProvider = "leaves")
+    public void nothingIsWrittenForACallerWhoLeftBeforeTheConnectionCameUp(Leaves how) throws Exception {
+        Line line = StandIn.ready(world, serve);
+        sockets.connect.shut();
+        int before = sockets.made.get();
+        for (java.net.Socket link : machines.get(1).links) {
+            link.close();
+        }
+        // Its two connections are asked for anew, and stand before the gate.
+        sockets.connect.awaits(1);
+        serve.awaits(() -> sockets.made.get() >= before + 2);
+        line.invite(TAG, "dear", 3000, "m=audio");
+        serve.awaits(() -> serve.openSetUps() == 1);
+        leave(line, how);
+        nothingOpen();
+        sockets.connect.open();
+        StandIn.ready(world, serve);
+        nextStartIs(LAST);
+    }
+
+    /** A writer that is held takes the time that its caller gave: what is left says so, and at its end nothing goes out. */
+    @Test
+    public void whatIsLeftIsTrueWhenItIsWritten() throws Exception {
+        StandIn.ready(world, serve);
+        Line first = world.new Line(serve.listens());
+        sockets.write.shut();
+        first.invite(OTHER, "dear", 3000, "m=audio");
+        sockets.write.awaits(1);
+        long queued = System.nanoTime();
+        Line second = world.new Line(serve.listens()).invite(TAG, "dear", 3000, "m=audio");
+        Line third = world.new Line(serve.listens()).invite(LAST, "dear", 300, "m=audio");
+        assertTrue(third.next().startsWith("SIP/2.0 50"), "its time is over");
+        long held = (System.nanoTime() - queued) / 1_000_000;
+        sockets.write.open();
+        assertEquals(machines.get(1).next("START").tag(), OTHER);
+        Said said = machines.get(1).next("START");
+        assertEquals(said.tag(), TAG);
+        assertTrue(said.left() <= 3000 - held + 1, said.left() + " ms left after " + held);
+        said.started("m=audio 2");
+        assertTrue(second.next().startsWith("SIP/2.0 200 "));
+        assertTrue(machines.get(1).said.isEmpty(), "one went out past its time");
+    }
+
+    /** Drained while the set-up waits for its connection: it is never sent there, and its caller is answered. */
+    @Test
+    public void aSwitchThatDrainsMeanwhileGetsNothingNew() throws Exception {
+        Line line = StandIn.ready(world, serve);
+        Line first = world.new Line(serve.listens());
+        sockets.write.shut();
+        first.invite(OTHER, "dear", 3000, "m=audio");
+        sockets.write.awaits(1);
+        line.invite(TAG, "dear", 3000, "m=audio");
+        serve.awaits(() -> serve.openSetUps() == 2);
+        feed.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
+        serve.awaits(() -> serve.position() == 2);
+        sockets.write.open();
+        assertTrue(line.next().startsWith("SIP/2.0 503 "), "there is no other way to it");
+        machines.get(1).next("START").started("m=audio 3");
+        assertTrue(first.next().startsWith("SIP/2.0 200 "));
+        assertTrue(machines.get(1).said.stream().noneMatch(said -> said.tag().equals(TAG)));
+    }
+}
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -63,15 +63,7 @@
 
     /** Tests until one passes: only then are the states of the groups there. */
     private Line ready() throws IOException {
-        Line line = caller();
-        // By the clock: two thousand tests were over in half a second on a busy machine, before the threads had begun.
-        for (long begun = System.nanoTime(); System.nanoTime() - begun < 10_000_000_000L; ) {
-            line.say("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n");
-            if (line.next().startsWith("SIP/2.0 200")) {
-                return line;
-            }
-        }
-        throw new AssertionError("never ready");
+        return StandIn.ready(world, serve);
     }
 
     private Said stood(Line line) throws Exception {
--- a/src/test/java/martenslip/platform/StandIn.java
+++ b/src/test/java/martenslip/platform/StandIn.java
@@ -48,7 +48,11 @@
     }
 
     /** A line of a switch with the socket it came by. */
-    record Said(Socket by, String verb, String tag, String description) {
+    record Said(Socket by, String verb, String tag, String description, long left) {
+        Said(Socket by, String verb, String tag, String description) {
+            this(by, verb, tag, description, -1);
+        }
+
         void answer(String line) throws IOException {
             by.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
         }
@@ -79,11 +83,16 @@
                 for (String line = in.readLine(); line != null; line = in.readLine()) {
                     java.util.Map<?, ?> map = (java.util.Map<?, ?>) Json.read(line.getBytes(StandardCharsets.UTF_8));
                     said.add(new Said(socket, (String) map.get("verb"), (String) map.get("tag"),
-                            (String) map.get("blob")));
+                            (String) map.get("blob"), left(map)));
                 }
             });
         }
 
+        private static long left(java.util.Map<?, ?> line) {
+            return line.get("opts") instanceof java.util.Map<?, ?> opts && opts.get("left") instanceof String left
+                    ? Long.parseLong(left) : -1;
+        }
+
         int port() {
             return listener.getLocalPort();
         }
@@ -248,6 +257,19 @@
         }
     }
 
+    /** A caller's line on which a test has passed: only then are the states of the groups there. */
+    static Line ready(StandIn world, Serve serve) throws IOException {
+        Line line = world.new Line(serve.listens());
+        // By the clock: two thousand tests were over in half a second on a busy machine, before the threads had begun.
+        for (long begun = System.nanoTime(); System.nanoTime() - begun < 10_000_000_000L; ) {
+            line.say("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n");
+            if (line.next().startsWith("SIP/2.0 200")) {
+                return line;
+            }
+        }
+        throw new AssertionError("never ready");
+    }
+
     List<Machine> machines(int count) throws IOException {
         List<Machine> all = new ArrayList<>();
         for (int i = 0; i < count; i++) {
