A release whose connection ends before it is heard is said on another at once

Ruled out from the log: no silent switch, no connection that never came up, no draining switch near that moment. Not proven: which connection it was said on; the log did not tell, and does now ("unheard: ..."). To blame, as far as read: Releases.say (was Desk.say) took a queued BYE for a said one and looked again 0.4 s later, each time at the same connection, the one heard last. Now the end of that connection is the news, and each further try goes by another one where there is one.

Also two tests that depended on luck: CrossingTest closed a connection before the second was up; theFeedGoesOnAfterABreak took a connection for a state that was told. Both wait for what they need now.

--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -363,8 +363,8 @@
         }
 
         @Override
-        public long anyLine() {
-            return callers.any();
+        public long anyLine(long but) {
+            return callers.any(but);
         }
 
         @Override
@@ -435,6 +435,11 @@
         return desk.open();
     }
 
+    /** For checks; the deciding thread's. */
+    boolean groupsTold() {
+        return switches.allTold();
+    }
+
     /** Of the last event of the list that was taken. */
     long position() {
         return journal.position();
--- a/src/main/java/martenslip/platform/caller/Callers.java
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -120,11 +120,12 @@
         return to != null && to.connection.send(message);
     }
 
-    /** The line that was heard last of those that have brought something fit, or 0. */
-    public long any() {
+    /** The line that was heard last of those that have brought something fit; {@code but} only where it is alone; or 0. */
+    public long any(long but) {
         Line last = null;
         for (Line one : lines.values()) {
-            if (one.good && (last == null || last.heardAt - one.heardAt < 0)) {
+            boolean only = last != null && last.connection.number() == but;
+            if (one.good && (last == null || only || one.connection.number() != but && last.heardAt - one.heardAt < 0)) {
                 last = one;
             }
         }
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -224,6 +224,7 @@
     }
 
     public void lineOver(long line) {
+        releases.lineOver(line);
         for (Taken one : List.copyOf(byId.values())) {
             if (one.line == line) {
                 callerGone(one);
--- a/src/main/java/martenslip/platform/desk/Outward.java
+++ b/src/main/java/martenslip/platform/desk/Outward.java
@@ -7,8 +7,8 @@
     /** Toward a caller on its line; false where that is over. */
     boolean toCaller(long line, byte[] message);
 
-    /** A line that callers who behave have open, or 0. */
-    long anyLine();
+    /** A connection that callers who behave have open, another than this one if there is one; or 0. */
+    long anyLine(long but);
 
     /** The set-up of this line has its final answer. */
     void settled(long line, String tag);
--- a/src/main/java/martenslip/platform/desk/Releases.java
+++ b/src/main/java/martenslip/platform/desk/Releases.java
@@ -1,6 +1,7 @@
 package martenslip.platform.desk;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import martenslip.control.Span;
 import martenslip.wheel.Wheel;
@@ -19,7 +20,8 @@
     private static final class Release {
         final String tag;
         final byte[] message;
-        final long line;
+        /** The connection that it was said on last; the next time another is taken, where there is one. */
+        long line;
         int said;
 
         Release(String tag, byte[] message, long line) {
@@ -57,20 +59,37 @@
         say(one);
     }
 
+    /** A connection is over: what was said on it last, and not heard, may never have come through. */
+    void lineOver(long line) {
+        for (Release one : List.copyOf(unheard.values())) {
+            if (one.line == line && one.said > 0) {
+                again(one);
+            }
+        }
+    }
+
     private void say(Release one) {
         if (unheard.get(one.tag) != one) {
             return;
         }
-        boolean own = one.said == 0 && out.toCaller(one.line, one.message);
-        long other = own ? 0 : out.anyLine();
-        if (other != 0) {
-            out.toCaller(other, one.message);
-        }
-        one.said += own || other != 0 ? 1 : 0;
+        again(one);
         if (one.said >= MOST_SAID) {
+            out.log("unheard", "the release of " + one.tag + " was said " + one.said + " times and not heard");
             unheard.remove(one.tag);
             return;
         }
         wheel.after(AGAIN, () -> say(one));
     }
+
+    private void again(Release one) {
+        if (one.said == 0 && out.toCaller(one.line, one.message)) {
+            one.said++;
+            return;
+        }
+        long other = out.anyLine(one.line);
+        if (other != 0 && out.toCaller(other, one.message)) {
+            one.line = other;
+            one.said++;
+        }
+    }
 }
--- a/src/test/java/martenslip/platform/CrossingTest.java
+++ b/src/test/java/martenslip/platform/CrossingTest.java
@@ -112,6 +112,7 @@
     @Test(dataProvider = "leaves")
     public void nothingIsWrittenForACallerWhoLeftBeforeTheConnectionCameUp(Leaves how) throws Exception {
         Line line = StandIn.ready(world, serve);
+        serve.awaits(() -> machines.get(1).links.size() == 2);
         sockets.connect.shut();
         int before = sockets.made.get();
         for (java.net.Socket link : machines.get(1).links) {
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -194,10 +194,9 @@
         assertEquals(feed.asked(), 1);
         feed.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "removed"),
                 line("s-7", machines.get(2).port(), 1, "up")));
-        // Two connections to each switch: four once the new one at the same address is known.
-        for (int i = 0; i < 1000 && machines.get(2).links.size() < 4; i++) {
-            Thread.sleep(5);
-        }
+        // Two connections to each switch: four once the new one at the same address is known. That it has told its state
+        // is one thing more, and a busy machine may take it up later.
+        serve.awaits(() -> machines.get(2).links.size() >= 4 && serve.groupsTold());
         line.invite(TAG, "dear", 3000, BODY);
         machines.get(2).next("START").started("at the new one");
         assertTrue(line.next().endsWith("at the new one"));
--- a/src/test/java/martenslip/platform/desk/DeskTest.java
+++ b/src/test/java/martenslip/platform/desk/DeskTest.java
@@ -237,6 +237,24 @@
         assertEquals(tiny.told(), List.of("end 1 0 CUT NONE false"));
     }
 
+    /** On the long day one of 18,000 was told too late: its release waited 0.4 s for each try after a line that ended. */
+    @Test
+    public void aReleaseOnALineThatEndsIsSaidOnAnotherAtOnce() {
+        stood();
+        desk.ended(SWITCH, LINK, tag(1), 16, null, NONE);
+        assertEquals(tiny.sent(), List.of("1: BYE Q.850;cause=16"));
+        tiny.closed.add(1L);
+        tiny.any = 2;
+        desk.lineOver(1);
+        assertEquals(tiny.sent(), List.of("2: BYE Q.850;cause=16"));
+        tiny.any = 3;
+        desk.lineOver(2);
+        assertEquals(tiny.sent(), List.of("3: BYE Q.850;cause=16"));
+        desk.releaseHeard(tag(1));
+        desk.lineOver(3);
+        assertEquals(tiny.sent(), List.of());
+    }
+
     @Test
     public void anotherLineCantWithdrawAContact() {
         rung();
--- a/src/test/java/martenslip/platform/desk/DeskWorld.java
+++ b/src/test/java/martenslip/platform/desk/DeskWorld.java
@@ -207,7 +207,7 @@
     }
 
     @Override
-    public long anyLine() {
+    public long anyLine(long but) {
         return 1;
     }
 
--- a/src/test/java/martenslip/platform/desk/TinyDesk.java
+++ b/src/test/java/martenslip/platform/desk/TinyDesk.java
@@ -106,7 +106,7 @@
     }
 
     @Override
-    public long anyLine() {
+    public long anyLine(long but) {
         return any;
     }
 
