Cold switches: a rush does not widen what a fleet sends to one

To blame: Logic.spendCold took half of what is asked now for the usual part, whatever is asked, and for a machine that replaced another, or in a process just started, there is nothing else. Now it is at most what the group is built to carry (its size over the mean hold), which reports and settings tell everyone from the start; all groups together are built for what the processor does. No constant is new.

--- a/src/main/java/martenslip/Logic.java
+++ b/src/main/java/martenslip/Logic.java
@@ -357,8 +357,10 @@
             if (part >= 1) {
                 return true;
             }
-            // Asks count by half: after a refusal the same caller asks again.
-            double usualSent = Math.max(warmRate, asks.mean(now) / 2);
+            // Asks count by half: after a refusal the same caller asks again. A rush says nothing of the processor, and
+            // one that started a moment ago has seen nothing else: no more than the group is built to carry.
+            double built = size * sent.period.over(skills[cheapest].hold) / skills[cheapest].width;
+            double usualSent = Math.min(built, Math.max(warmRate, asks.mean(now) / 2));
             part *= Math.min(COLD_WORK, 0.6 * number("guarantees.fall-multiple", 1));
             double periods = now.since(budgetAt).over(sent.period);
             budget = Math.min(2, budget + usualSent * part * periods);
--- /dev/null
+++ b/src/test/java/martenslip/ColdFleetTest.java
@@ -0,0 +1,39 @@
+package martenslip;
+
+import static org.testng.Assert.assertTrue;
+
+import martenslip.ColdFleet.Found;
+import martenslip.ColdFleet.Plan;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What a whole fleet sends to a cold switch stays within what the settings allow it, whoever sends it. */
+public class ColdFleetTest {
+    private static final int SEEDS = 8;
+
+    /** Processes, calls a second to the switch, times as many after, part just started, the same machine again. */
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {
+            {new Plan(5, 19, 1, 0, false)}, {new Plan(5, 19, 4, 0, true)},
+            {new Plan(20, 19, 1, 0, false)}, {new Plan(20, 19, 2, 0.5, false)}, {new Plan(20, 19, 4, 0, true)},
+            {new Plan(30, 19, 1, 0, false)}, {new Plan(30, 19, 2, 0.5, false)}, {new Plan(30, 19, 2, 0.5, true)},
+            {new Plan(30, 19, 4, 0, true)}, {new Plan(30, 19, 3, 1, false)}, {new Plan(30, 6, 3, 0.5, false)},
+            {new Plan(30, 6, 3, 0.5, true)}, {new Plan(48, 19, 3, 0.5, true)}, {new Plan(48, 19, 4, 1, false)},
+        };
+    }
+
+    @Test(dataProvider = "fleets")
+    public void theSumStaysWithinTheAllowance(Plan plan) {
+        Found worst = null;
+        double served = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Found found = ColdFleet.play(plan, seed);
+            worst = worst == null || found.worst() > worst.worst() ? found : worst;
+            served += found.sentCold() / SEEDS;
+        }
+        System.out.printf("cold fleet %s: worst window %d sent, %.1f allowed, %.2f of the slack; sent of asked %.2f%n",
+                plan, worst.sent(), worst.allowed(), worst.worst(), served);
+        assertTrue(worst.worst() <= 1, plan + ": " + worst);
+    }
+}
