--- a/src/main/java/martenslip/cli/Main.java
+++ b/src/main/java/martenslip/cli/Main.java
@@ -4,6 +4,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import martenslip.Logic;
 import martenslip.drill.Drill;
@@ -33,10 +34,11 @@
     /** The signals are taken first of all: a SIGHUP that comes early would end the process. */
     private static void serve() {
         AtomicReference<Serve> serving = new AtomicReference<>();
+        AtomicBoolean asked = new AtomicBoolean();
         Signal.handle(new Signal("HUP"), any -> {
-            if (serving.get() != null) {
-                serving.get().reload();
-            }
+            // Marked first: one that comes while the file is read for the start is looked at once that is done.
+            asked.set(true);
+            reload(serving, asked);
         });
         try {
             Path placed = Serve.placed();
@@ -51,6 +53,7 @@
             Signal.handle(new Signal("TERM"), any -> serve.term());
             serve.open();
             serving.set(serve);
+            reload(serving, asked);
             serve.await();
             System.exit(0);
         } catch (IOException e) {
@@ -61,6 +64,12 @@
         }
     }
 
+    private static void reload(AtomicReference<Serve> serving, AtomicBoolean asked) {
+        if (serving.get() != null && asked.getAndSet(false)) {
+            serving.get().reload();
+        }
+    }
+
     /** For the build: the JVM keeps an archive of what this loads. */
     private static void rehearse() {
         try {
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -48,9 +48,12 @@
     /** Half of what the platform adds to every time limit on sockets. */
     private static final Span ON_SOCKETS = Span.ofMillis(25);
     private static final Span LOOK = Span.ofMillis(50);
+    /** Well under the kill, which comes 1.7 s after the end begins at the soonest. */
+    private static final Span HANG_UP = Span.ofMillis(600);
     private static final Span TELL = Span.ofMillis(5000);
-    /** Descriptors that switches, the journal, files and the JVM may need; and a bound of threads for lines. */
-    private static final int NOT_FOR_CALLERS = 72;
+    /** Descriptors of files and the JVM, the journal's two feeds, the listener and the peers' socket. */
+    private static final int NOT_FOR_CONNECTIONS = 28;
+    /** A bound of threads for callers' connections. */
     private static final int MOST_LINES = 500;
 
     private final Path file;
@@ -84,8 +87,7 @@
         start = Placement.read(file);
         Map<String, String> settings = start.settings();
         Terms terms = terms(settings);
-        int forCallers = Math.max(16, Math.min(MOST_LINES, start.sockets() - NOT_FOR_CALLERS));
-        Bounds bounds = new Bounds(forCallers, Span.ofMillis(2000), Span.ofMillis(20_000), Span.ofMillis(1500),
+        Bounds bounds = new Bounds(MOST_LINES, Span.ofMillis(2000), Span.ofMillis(20_000), Span.ofMillis(1500),
                 256 * 1024, Span.ofMillis(3000), Span.ofMillis(500));
         callers = new Callers(terms, bounds, writers, drops, fromCallers);
         Span connect = span(settings, "policy-limits.connect-timeout-ns", 500e6);
@@ -127,6 +129,7 @@
         }, () -> {
             decides = Thread.currentThread();
             roster.remembered(start.known(), wheel.now());
+            allot();
             Moment begun = wheel.now();
             look(begun);
             wheel.after(TELL, this::told);
@@ -144,6 +147,15 @@
         done.await();
     }
 
+    /**
+     * What the list in force needs comes first, with room for a machine beside each one it replaces; callers who mean
+     * it hold at most a third of all.
+     */
+    private void allot() {
+        int reserved = NOT_FOR_CONNECTIONS + switches.needs();
+        callers.allow(Math.max(start.sockets() / 3 + 1, start.sockets() - reserved));
+    }
+
     private void look(Moment begun) {
         if (switches.allTold() || wheel.now().since(begun).longerThan(READY_AT_LAST)) {
             ready = true;
@@ -161,8 +173,8 @@
         wheel.after(TELL, this::told);
     }
 
-    /** SIGHUP: the file is read anew; only a whole good one counts, else the one in force stays. */
-    public void reload() {
+    /** SIGHUP: the file is read anew; only a whole good one counts, else the one in force stays. One at a time, in turn. */
+    public synchronized void reload() {
         try {
             Placement now = Placement.read(file);
             if (!now.settings().equals(start.settings())) {
@@ -197,6 +209,8 @@
             return;
         }
         Thread last = new Thread(null, () -> {
+            // While the deciding thread still answers: what comes until a connection is ended has an owner.
+            callers.hangUp(HANG_UP);
             close();
             done.countDown();
         }, "last", 128 * 1024);
@@ -205,7 +219,7 @@
 
     @Override
     public void close() {
-        // First: lines that end from here on are no news of callers who went away.
+        // First: connections that end from here on are no news of callers who went away.
         post.close();
         try {
             callers.close();
@@ -347,7 +361,10 @@
     private final Journal.Heard fromJournal = new Journal.Heard() {
         @Override
         public void event(ListEvent event) throws InterruptedException {
-            turn(() -> roster.take(event, wheel.now()));
+            turn(() -> {
+                roster.take(event, wheel.now());
+                allot();
+            });
         }
 
         @Override
--- a/src/main/java/martenslip/platform/caller/Callers.java
+++ b/src/main/java/martenslip/platform/caller/Callers.java
@@ -4,11 +4,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import martenslip.control.Moment;
 import martenslip.control.Span;
@@ -47,6 +50,9 @@
     private static final int MOST_LOOKS = 16;
     private static final int WAIT_MS = 10;
     private static final int MOST_WAITS = 100;
+    /** How often the accepting thread looks whether it is to end. */
+    private static final int LOOK_MS = 250;
+    private static final int LAST_LOOK_MS = 5;
 
     /** Takes what is fit; called by reading threads and may make them wait. */
     public interface Heard {
@@ -84,16 +90,38 @@
     private final Drops drops;
     private final Fit fit;
     private final Map<Long, Line> lines = new ConcurrentHashMap<>();
-    private final ServerSocket listener = new ServerSocket();
+    private final ServerSocket listener;
+    private final CountDownLatch accepted = new CountDownLatch(1);
+    private volatile int most;
+    private volatile boolean leaving;
     private volatile boolean closing;
     private long numbers;
 
     public Callers(Terms terms, Bounds bounds, Writers writers, Drops drops, Heard heard) throws IOException {
+        this(terms, bounds, writers, drops, heard, new ServerSocket());
+    }
+
+    /** {@code listener} is not bound yet. */
+    Callers(Terms terms, Bounds bounds, Writers writers, Drops drops, Heard heard, ServerSocket listener) {
+        this.listener = listener;
         this.bounds = bounds;
         this.writers = writers;
         this.heard = heard;
         this.drops = drops;
         fit = new Fit(terms);
+        most = bounds.connections();
+    }
+
+    /**
+     * How many connections callers may hold from now on; where they hold more, quiet ones are ended. Those that are owed
+     * something stay.
+     */
+    public void allow(int connections) {
+        most = Math.max(1, Math.min(bounds.connections(), connections));
+        int over = lines.size() - most;
+        for (int i = 0; i < over && makeRoom(); i++) {
+            drops.count("connection ended for a switch");
+        }
     }
 
     /** Begins to listen; the port that was taken is returned. */
@@ -149,26 +177,75 @@
     }
 
     private void accept() {
-        while (!closing) {
-            try {
-                Socket socket = listener.accept();
-                if (!room()) {
-                    drops.count("too many lines");
-                    socket.close();
-                    continue;
-                }
-                socket.setTcpNoDelay(true);
-                Connection connection = new Connection(++numbers, socket,
-                        (InetSocketAddress) socket.getRemoteSocketAddress(), true, bounds, events,
-                        new Framer(MOST_BYTES, FIRST_BYTES, true), writers);
-                lines.put(connection.number(), new Line(connection));
-                begin(connection);
-            } catch (IOException e) {
-                if (listener.isClosed()) {
-                    return;
-                }
-                drops.count("accept fault");
+        try {
+            while (!closing && next()) {
+                // Until there is nobody left to take.
             }
+            listener.close();
+        } catch (IOException e) {
+            drops.count("listener not closed");
+        } finally {
+            accepted.countDown();
+        }
+    }
+
+    /** Takes one caller; false where nobody waits and none is to be taken any more. */
+    private boolean next() {
+        boolean last = leaving;
+        Socket socket;
+        try {
+            listener.setSoTimeout(last ? LAST_LOOK_MS : LOOK_MS);
+            socket = listener.accept();
+        } catch (SocketTimeoutException e) {
+            return !last;
+        } catch (IOException e) {
+            if (listener.isClosed()) {
+                return false;
+            }
+            // Where no descriptor is to be had it fails at once and the caller goes on waiting: no reason to spin.
+            drops.count("accept fault", String.valueOf(e.getMessage()));
+            if (!makeRoom()) {
+                pause();
+            }
+            return true;
+        }
+        try {
+            take(socket);
+        } catch (IOException e) {
+            drops.count("caller gone as it was taken");
+            quietly(socket);
+        }
+        return true;
+    }
+
+    private void take(Socket socket) throws IOException {
+        if (!room()) {
+            drops.count("too many connections");
+            quietly(socket);
+            return;
+        }
+        socket.setTcpNoDelay(true);
+        Connection connection = new Connection(++numbers, socket, (InetSocketAddress) socket.getRemoteSocketAddress(),
+                true, bounds, events, new Framer(MOST_BYTES, FIRST_BYTES, true), writers);
+        lines.put(connection.number(), new Line(connection));
+        begin(connection);
+    }
+
+    private void quietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            drops.count("not closed");
+        }
+    }
+
+    private static boolean pause() {
+        try {
+            Thread.sleep(WAIT_MS);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
         }
     }
 
@@ -182,18 +259,11 @@
     }
 
     /** Waits a little for a line that may be ended; others that want in wait with the system meanwhile. */
-    private boolean room() throws IOException {
-        for (int i = 0; lines.size() >= bounds.connections(); i++) {
-            if (i == MOST_WAITS) {
+    private boolean room() {
+        for (int i = 0; lines.size() >= most; i++) {
+            if (i == MOST_WAITS || !makeRoom() && !pause()) {
                 return false;
             }
-            if (!makeRoom()) {
-                try {
-                    Thread.sleep(WAIT_MS);
-                } catch (InterruptedException e) {
-                    throw new IOException("stopped", e);
-                }
-            }
         }
         return true;
     }
@@ -324,10 +394,32 @@
         line.connection.send(Replies.plain(request, 400, why));
     }
 
+    /**
+     * Takes what still waits to be accepted and nobody after; ends each connection once nothing is owed on it and
+     * nothing of it is unread. What is read meanwhile is handed up like before, so whoever decides must go on. Those
+     * that are still owed something after this time are left.
+     */
+    public void hangUp(Span atMost) {
+        long until = System.nanoTime() + atMost.ns();
+        leaving = true;
+        try {
+            accepted.await(atMost.ns(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        do {
+            for (Line line : lines.values()) {
+                if (line.open.get() <= 0 && !line.connection.unread()) {
+                    line.connection.finish("closing", Span.ofMillis(WAIT_MS));
+                }
+            }
+        } while (!lines.isEmpty() && System.nanoTime() < until && pause());
+    }
+
     @Override
     public void close() throws IOException {
         closing = true;
         listener.close();
-        lines.values().forEach(line -> line.connection.finish("closing", Span.ofMillis(200)));
+        lines.values().forEach(line -> line.connection.close("closing"));
     }
 }
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -202,6 +203,12 @@
         return links.size();
     }
 
+    /** Connections that the switches of the list may need: to each, to one that takes its place, and one that asks. */
+    public int needs() {
+        return (2 * EACH + 1) * (int) fars.values().stream().filter(far -> far.listed && !far.drains).count()
+                + EACH * (int) fars.values().stream().filter(far -> !far.listed || far.drains).count();
+    }
+
     private void fill(Far far) {
         while (far.listed && !closing && !far.waiting && far.links.size() < EACH) {
             if (!open(far)) {
@@ -252,8 +259,10 @@
         }
         Revocable message = new Revocable(SwitchSays.STARTS_AT_MOST + 2 * start.description().length(),
                 () -> due(far, start), () -> put(unsent));
+        // The end of an earlier attempt must not be said again on a connection that comes up after this one.
+        far.releases.remove(start.tag());
         for (boolean up : new boolean[] {true, false}) {
-            for (Link link : far.links) {
+            for (Link link : List.copyOf(far.links)) {
                 if (link.up == up && link.connection.send(message)) {
                     return new Queued(link.connection.number(), message);
                 }
@@ -278,8 +287,13 @@
             message.done();
             return;
         }
-        if (far.releases.size() >= MOST_UNHEARD) {
-            far.releases.remove(far.releases.keySet().iterator().next());
+        // They stand in the order of time.
+        for (Iterator<Unheard> all = far.releases.values().iterator(); all.hasNext(); ) {
+            boolean old = wheel.now().since(all.next().at).longerThan(UNHEARD);
+            if (!old && far.releases.size() < MOST_UNHEARD) {
+                break;
+            }
+            all.remove();
         }
         far.releases.put(tag, new Unheard(cause, wheel.now()));
         Link own = links.get(connection);
--- a/src/test/java/martenslip/platform/CrossingTest.java
+++ b/src/test/java/martenslip/platform/CrossingTest.java
@@ -171,4 +171,62 @@
         assertTrue(first.next().startsWith("SIP/2.0 200 "));
         assertTrue(machines.get(1).said.stream().noneMatch(said -> said.tag().equals(TAG)));
     }
+
+    /** Waits until two connections to the switch are up on both sides. */
+    private void linked(Machine machine, int links) throws Exception {
+        serve.awaits(() -> machine.links.size() >= links && serve.groupsTold());
+    }
+
+    /**
+     * The end of a first attempt is kept to be said again on a further connection, until the switch says that it heard;
+     * said again there it would end the second attempt, which bears the same id.
+     */
+    @Test
+    public void theEndOfOneAttemptIsNotSaidAgainOverTheNext() throws Exception {
+        Line line = StandIn.ready(world, serve);
+        Machine machine = machines.get(1);
+        linked(machine, 2);
+        line.invite(TAG, "dear", 3000, "m=audio");
+        Said first = machine.next("START");
+        // Good but for its description: it is given up, and tried again after the release.
+        first.answer("{\"verb\":\"STARTED\",\"tag\":\"" + TAG + "\",\"opts\":{}}");
+        assertEquals(machine.next("FINISH").tag(), TAG);
+        Said second = machine.next("START");
+        assertEquals(second.tag(), TAG);
+        machine.links.stream().filter(link -> link != second.by()).findFirst().orElseThrow().close();
+        linked(machine, 3);
+        // Asked on the new connection, it answers behind all that it said there by itself.
+        new Said(machine.links.get(2), "", OTHER, "").finish(16, "");
+        for (Said said = machine.said.poll(10, java.util.concurrent.TimeUnit.SECONDS); ; ) {
+            assertTrue(said != null, "nothing came on the new connection");
+            assertTrue(!(said.verb().equals("FINISH") && said.tag().equals(TAG)), "the second attempt was ended");
+            if (said.verb().equals("FINISHED")) {
+                break;
+            }
+            said = machine.said.poll(10, java.util.concurrent.TimeUnit.SECONDS);
+        }
+        second.started("m=audio 1");
+        assertTrue(line.next().startsWith("SIP/2.0 200 "));
+    }
+
+    /** A connection that stays open and says nothing while the other of the same switch speaks costs its own contact only. */
+    @Test
+    public void aConnectionThatSaysNothingCostsWhatWentByIt() throws Exception {
+        Line line = StandIn.ready(world, serve);
+        Machine machine = machines.get(1);
+        linked(machine, 2);
+        Line silent = world.new Line(serve.listens()).invite(TAG, "dear", 400, "m=audio");
+        Said swallowed = machine.next("START");
+        for (java.net.Socket other : machine.links) {
+            if (other != swallowed.by()) {
+                other.getOutputStream().write("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n"
+                        .getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            }
+        }
+        assertTrue(silent.next().startsWith("SIP/2.0 50"), "answered in its time");
+        assertEquals(machine.next("FINISH").tag(), TAG, "what was written is given up on the wire");
+        line.invite(LAST, "dear", 3000, "m=audio");
+        machine.next("START").started("m=audio 1");
+        assertTrue(line.next().startsWith("SIP/2.0 200 "));
+    }
 }
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -212,6 +212,84 @@
         assertEquals(moved.asked(), 1);
     }
 
+    private void moveTo(StandIn.Feed to) throws IOException {
+        Files.writeString(file, StandIn.placement(to.port(), list("up")));
+        serve.reload();
+    }
+
+    /** The old address still tells for a while; the new one has taken the question and says nothing. */
+    @Test
+    public void theOldFeedIsHeardUntilTheNewOneTalks() throws Exception {
+        ready();
+        StandIn.Feed moved = world.new Feed();
+        moved.silent = true;
+        moveTo(moved);
+        assertEquals(moved.asked(), 1);
+        feed.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
+        serve.awaits(() -> serve.position() == 2);
+        moved.tell(list("up"));
+        moved.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
+        moved.tell(event(3, false, line("s-1", machines.get(1).port(), 1, "removed")));
+        moved.silent = false;
+        serve.awaits(() -> serve.position() == 3);
+    }
+
+    /** Reload, and at once a drain: what the new address tells counts, and it is the only one left. */
+    @Test
+    public void aDrainRightAfterAReloadIsHeard() throws Exception {
+        Line line = ready();
+        StandIn.Feed moved = world.new Feed();
+        moved.tell(list("up"));
+        moved.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
+        moveTo(moved);
+        serve.awaits(() -> serve.position() == 2);
+        line.invite(TAG, "dear", 3000, BODY);
+        assertTrue(line.next().startsWith("SIP/2.0 503 "));
+    }
+
+    @Test
+    public void twoReloadsWhileTheFirstIsNotYetReadEndAtTheSecond() throws Exception {
+        ready();
+        StandIn.Feed nowhere = world.new Feed();
+        nowhere.silent = true;
+        moveTo(nowhere);
+        StandIn.Feed moved = world.new Feed();
+        moved.tell(list("up"));
+        moved.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
+        moveTo(moved);
+        serve.awaits(() -> serve.position() == 2);
+        nowhere.tell(list("up"));
+        nowhere.tell(list("up"));
+        nowhere.tell(event(3, true));
+        nowhere.silent = false;
+        moved.tell(event(3, false, line("s-1", machines.get(1).port(), 1, "up")));
+        serve.awaits(() -> serve.position() == 3);
+        assertTrue(serve.groupsTold());
+    }
+
+    /** A restart finds contacts that stand, and is killed while it takes them: the next one takes them all the same. */
+    @Test
+    public void takenOverAgainAfterAKillAmidSetUpsThatStandAlready() throws Exception {
+        Line line = ready();
+        line.say(Line.message("INVITE", TAG, "Routing-Data: at:s-1\r\n", ""));
+        line.say("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n");
+        line.next();
+        // Killed: what it knew is gone with it, and nobody was told a thing.
+        serve.close();
+        machines.get(1).said.clear();
+        serve = new Serve(file, Logic::new, SILENT);
+        serve.open();
+        Line again = ready();
+        again.say(Line.message("INVITE", TAG, "Routing-Data: at:s-1\r\n", ""));
+        again.say(Line.message("INVITE", OTHER, "Routing-Data: at:s-none\r\n", ""));
+        String over = again.next();
+        assertTrue(over.startsWith("BYE ") && over.contains(OTHER), over);
+        java.net.Socket link = machines.get(1).links.get(machines.get(1).links.size() - 1);
+        new Said(link, "", TAG, "").finish(16, "");
+        String bye = again.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16") && bye.contains(TAG), bye);
+    }
+
     @Test
     public void aBrokenPlacementAtAReloadChangesNothing() throws Exception {
         Line line = ready();
--- a/src/test/java/martenslip/platform/StandIn.java
+++ b/src/test/java/martenslip/platform/StandIn.java
@@ -127,6 +127,8 @@
         private final List<String> events = new CopyOnWriteArrayList<>();
         private final ServerSocket listener;
         volatile String broken;
+        /** It takes the question and says nothing, not even that. */
+        volatile boolean silent;
 
         Feed() throws IOException {
             listener = serve(0, socket -> {
@@ -138,6 +140,13 @@
                     }
                 }
                 askedFrom.add(from);
+                while (silent) {
+                    try {
+                        Thread.sleep(5);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                }
                 write(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
                 for (int at = 0; !socket.isClosed(); ) {
                     for (; at < events.size(); at++) {
--- a/src/test/java/martenslip/platform/caller/CallersTest.java
+++ b/src/test/java/martenslip/platform/caller/CallersTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import martenslip.control.Span;
 import martenslip.platform.desk.SetUp;
 import martenslip.platform.desk.Terms;
@@ -30,6 +32,8 @@
     private final LinkedBlockingQueue<SetUp> heard = new LinkedBlockingQueue<>();
     private CountDownLatch go;
     private volatile boolean full;
+    private AtomicInteger broken;
+    private ServerSocket listener;
     private Callers callers;
     private InetSocketAddress at;
 
@@ -38,6 +42,17 @@
         heard.clear();
         full = false;
         go = new CountDownLatch(1);
+        broken = new AtomicInteger();
+        listener = new ServerSocket() {
+            @Override
+            public Socket accept() throws IOException {
+                if (broken.get() > 0) {
+                    broken.decrementAndGet();
+                    throw new SocketException("Too many open files");
+                }
+                return super.accept();
+            }
+        };
         callers = new Callers(new Terms(List.of("dear"), 10, Span.ofMillis(9000), Span.ofMillis(20)), TWO,
                 new Writers("test", 4), new Drops(), new Callers.Heard() {
                     @Override
@@ -65,7 +80,7 @@
                     public boolean ready() {
                         return true;
                     }
-                });
+                }, listener);
         at = new InetSocketAddress(InetAddress.getLoopbackAddress(),
                 callers.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
     }
@@ -149,4 +164,108 @@
             }
         }
     }
+
+    /** What comes while the connections are ended has an owner: it is read, handed up and answered before its own is. */
+    @Test
+    public void hangingUpWaitsForWhatItsReaderIsAmidOf() throws Exception {
+        try (Socket unread = line(); Socket quiet = line()) {
+            say(unread, "SIP/2.0 200 OK\r\nCall-ID: 0000000000000009\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+            invite(unread, 1);
+            say(quiet, "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n");
+            assertTrue(quiet.getInputStream().read() == 'S');
+            while (callers.count() < 2) {
+                Thread.onSpinWait();
+            }
+            Thread ends = new Thread(() -> callers.hangUp(Span.ofMillis(20_000)));
+            ends.start();
+            while (quiet.getInputStream().read() >= 0) {
+                // The rest of its answer, then the end.
+            }
+            assertEquals(heard.size(), 0);
+            go.countDown();
+            SetUp asked = next();
+            assertTrue(callers.send(asked.line(), "bye".getBytes(StandardCharsets.US_ASCII)));
+            callers.settled(asked.line(), asked.tag());
+            assertEquals(new String(unread.getInputStream().readNBytes(3), StandardCharsets.US_ASCII), "bye");
+            assertTrue(ended(unread));
+            ends.join(10_000);
+            assertTrue(!ends.isAlive() && listener.isClosed());
+        }
+    }
+
+    /** Where there is no room for it its caller hears so at once, and its reader goes on to what comes next. */
+    @Test
+    public void aSetUpThatFindsNoRoomIsRefusedByItsReader() throws Exception {
+        full = true;
+        try (Socket socket = line()) {
+            invite(socket, 1);
+            byte[] status = socket.getInputStream().readNBytes(11);
+            assertEquals(new String(status, StandardCharsets.US_ASCII), "SIP/2.0 503");
+            full = false;
+            invite(socket, 2);
+            assertEquals(next().tag(), String.format("%016x", 2));
+        }
+    }
+
+    @Test
+    public void theReaderMarksWhoCancelsAndWhoLeavesBeforeAnybodyIsTold() throws Exception {
+        try (Socket socket = line()) {
+            invite(socket, 1);
+            invite(socket, 2);
+            SetUp cancelled = next();
+            SetUp left = next();
+            assertTrue(!cancelled.caller().made());
+            say(socket, "CANCEL sip:00000000000000aa@net SIP/2.0\r\nCall-ID: " + cancelled.tag()
+                    + "\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n");
+            waits(cancelled);
+            assertTrue(!left.caller().made());
+            socket.close();
+            waits(left);
+        }
+    }
+
+    private static void waits(SetUp asked) {
+        for (long begun = System.nanoTime(); !asked.caller().made(); Thread.onSpinWait()) {
+            assertTrue(System.nanoTime() - begun < 10_000_000_000L, "never marked");
+        }
+    }
+
+    /** A list that grows needs descriptors: quiet callers give theirs, one that is owed an answer keeps its own. */
+    @Test
+    public void fewerAllowedEndsQuietOnesAtOnce() throws Exception {
+        try (Socket owed = line(); Socket quiet = line()) {
+            invite(owed, 1);
+            SetUp asked = next();
+            while (callers.count() < 2) {
+                Thread.onSpinWait();
+            }
+            for (long begun = System.nanoTime(); callers.count() > 1; ) {
+                // It counts as quiet once it has been so for longer than a reader may be late.
+                callers.allow(1);
+                assertTrue(System.nanoTime() - begun < 10_000_000_000L, "none was ended");
+            }
+            assertTrue(ended(quiet));
+            assertTrue(callers.send(asked.line(), "x".getBytes(StandardCharsets.US_ASCII)));
+        }
+    }
+
+    /** No descriptor to be had: accept fails at once and again, the caller waits. Room is made, and nothing spins. */
+    @Test
+    public void acceptThatFailsMakesRoomAndDoesNotSpin() throws Exception {
+        try (Socket quiet = line()) {
+            while (callers.count() < 1) {
+                Thread.onSpinWait();
+            }
+            int often = 60;
+            broken.set(often);
+            long begun = System.nanoTime();
+            try (Socket second = line()) {
+                assertTrue(ended(quiet), "the quiet one's descriptor is the one to be had");
+                invite(second, 1);
+                next();
+                long each = (System.nanoTime() - begun) / often;
+                assertTrue(each > 2_000_000, "a try each " + each + " ns");
+            }
+        }
+    }
 }
