Every order of what may come while an order waits; no good answer for a caller known to have gone

QueueWorld drives the very desk, module and revocable messages with three places where things wait: the inbox, a connection that is not up, a writer that is held. Judged after each by the five rules, by what is written for callers who have left, and by what is left over at the end. Four planted faults (the caller's end not looked at, the drain not looked at, the end counted from its order, nothing taken back) are each found.

What it found: an answer that is read while the news of its caller's cancel still waits was passed on as good, and the call then stood for nobody. Desk.started looks at the mark now; a first form of that gave up an attempt that the module had already called off (NullPointerException), found by the same check.

--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -254,7 +254,12 @@
         if (one == null || one.stands || !out(one, target)) {
             return;
         }
-        if (one.ring.givenUp) {
+        if (one.open && one.asked.caller().made()) {
+            // Known to have gone, though the news of it is still on its way: it takes no answer as good any more.
+            leaves(one);
+        }
+        if (one.ring == null || one.ring.givenUp) {
+            // Its end is on its way to the switch, by the module's order or by the desk's.
             return;
         }
         if (description == null || !one.open) {
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchline/SwitchLines.java
@@ -273,10 +273,9 @@
 
     /** What a set-up reads as when it is written, or null where there is nothing left to ask for. */
     private static byte[] due(Far far, Start start) {
-        Span left = start.until().since(new Moment(System.nanoTime()));
-        boolean due = !start.caller().made() && far.takesNew && left.longerThan(Span.ZERO);
-        return due ? SwitchSays.start(start.tag(), start.skill(), left.ns() / 1_000_000, start.key(),
-                start.description()) : null;
+        Moment now = new Moment(System.nanoTime());
+        return far.takesNew && start.due(now) ? SwitchSays.start(start.tag(), start.skill(),
+                start.left(now).ns() / 1_000_000, start.key(), start.description()) : null;
     }
 
     /** {@code written} is run by the deciding thread once it has been written, or can't be any more. */
--- a/src/test/java/martenslip/platform/desk/DeskTest.java
+++ b/src/test/java/martenslip/platform/desk/DeskTest.java
@@ -203,6 +203,17 @@
         assertEquals(desk.known(), List.of());
     }
 
+    @Test
+    public void anAnswerForACallerWhoseEndStillWaitsIsReleasedAndNotPassedOn() {
+        rung();
+        tiny.caller.make();
+        desk.started(SWITCH, LINK, tag(1), "c=x\r\n");
+        assertEquals(tiny.sent(), List.of("1: 487 INVITE", "FINISH 7 40 1 16"));
+        assertEquals(tiny.told(), List.of("gone 1", "end 1 0 CALLED_OFF NONE true"));
+        desk.lineOver(1);
+        assertEquals(desk.known(), List.of());
+    }
+
     @Test
     public void aSetUpWhoseCallerHasGoneIsNotOffered() {
         SetUp asked = ask(1, 1, 3000);
--- a/src/test/java/martenslip/platform/desk/DeskWorld.java
+++ b/src/test/java/martenslip/platform/desk/DeskWorld.java
@@ -64,7 +64,7 @@
         desk.load(102, new float[] {9, 9, -1});
     }
 
-    private static Map<String, String> settings() {
+    static Map<String, String> settings() {
         Map<String, String> all = new LinkedHashMap<>();
         for (String one : ("classes.count=2 classes.0.worth=1 classes.1.worth=8 classes.0.aim-ns=1000000000 "
                 + "classes.1.aim-ns=1000000000 family-info.mean-hold-ns=10000000000,5000000000 family-info.widths=1,1 "
--- /dev/null
+++ b/src/test/java/martenslip/platform/desk/QueueWorld.java
@@ -0,0 +1,378 @@
+package martenslip.platform.desk;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import martenslip.EveryOrder;
+import martenslip.EveryOrder.Event;
+import martenslip.FiveRules;
+import martenslip.Logic;
+import martenslip.control.Controller.ListKind;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.control.SwitchLine;
+import martenslip.sip.message.Parser;
+import martenslip.sip.message.Request;
+import martenslip.sip.message.Response;
+import martenslip.sip.transport.Outgoing;
+import martenslip.sip.transport.Queued;
+import martenslip.sip.transport.Revocable;
+import martenslip.wheel.Wheel;
+
+/**
+ * The very desk, module and revocable messages between callers and one switch, with the places where something may
+ * wait: the inbox of the deciding thread, a connection that is not up, a writer that is held. Anything may come while
+ * something waits. It judges by what is written to the switch and to callers, and when.
+ */
+final class QueueWorld implements EveryOrder.World, Outward {
+    /** A fault planted to see that the check finds it. */
+    enum Plant { NONE, DEPARTED, DRAINED, END_NOT_WRITTEN, NOT_REVOKED }
+
+    private static final Span PATIENCE = Span.ofMillis(1500);
+    private static final Span SLACK = Span.ofMillis(50);
+    /** Over the release of 300 ms and a round. */
+    private static final Span STEP = Span.ofMillis(350);
+    private static final Span PROCESS_ENDS = Span.ofMillis(1000);
+    private static final Span TURN = Span.ofMillis(25);
+    private static final long TARGET = 101;
+
+    record Plan(int offers, int circuits, boolean up) { }
+
+    private final Plan plan;
+    private final Plant plant;
+    private final FiveRules rules = new FiveRules(Span.ZERO, Span.ofMillis(300), Span.ofMillis(10_000));
+    private final Wheel wheel = new Wheel(new Moment(0));
+    private final Desk desk;
+    private final ArrayDeque<Runnable> inbox = new ArrayDeque<>();
+    private final ArrayDeque<Outgoing> unsent = new ArrayDeque<>();
+    private final Set<String> callers = new LinkedHashSet<>();
+    private final Map<String, Withdrawal> marks = new LinkedHashMap<>();
+    private final Set<String> written = new LinkedHashSet<>();
+    private final Set<String> standing = new LinkedHashSet<>();
+    private final Set<String> done = new LinkedHashSet<>();
+    private long link = 40;
+    private boolean up;
+    private boolean writerHeld;
+    private boolean deciderHeld;
+    private boolean takesNew = true;
+    private int offered;
+
+    QueueWorld(Plan plan, Plant plant) {
+        this.plan = plan;
+        this.plant = plant;
+        up = plan.up;
+        desk = new Desk(wheel, new Terms(List.of("cheap", "dear"), 100, Span.ofMillis(9000), Span.ofMillis(20)), this);
+        desk.module(new Logic(DeskWorld.settings(), 7, wheel.now(), desk));
+        list(SwitchLine.State.READY);
+        desk.load(TARGET, new float[] {plan.circuits, plan.circuits, -1});
+    }
+
+    private void list(SwitchLine.State state) {
+        desk.tell(to -> to.listed(wheel.now(), ListKind.CHANGES, List.of(
+                new SwitchLine(100, 0, SwitchLine.State.READY, null, 0), new SwitchLine(TARGET, 1, state, null, 0))));
+    }
+
+    @Override
+    public FiveRules rules() {
+        return rules;
+    }
+
+    @Override
+    public List<Event> enabled() {
+        List<Event> all = new ArrayList<>();
+        if (deciderHeld) {
+            all.add(event("decider goes on", () -> deciderHeld = false));
+        }
+        if (writerHeld) {
+            all.add(event("writer goes on", () -> writerHeld = false));
+        }
+        if (!up) {
+            all.add(event("up", () -> up = true));
+            once(all, "never up", () -> lost(false));
+        }
+        // A deciding thread that is held turns no wheel either: what is held there waits, it is not late.
+        if (!deciderHeld && (!callers.isEmpty() || !written.isEmpty() || !unsent.isEmpty() || desk.unheardReleases() > 0
+                || !desk.known().isEmpty() && standing.isEmpty())) {
+            all.add(event("time", this::time));
+        }
+        if (offered < plan.offers) {
+            all.add(event("offer", this::offer));
+        }
+        for (String tag : List.copyOf(callers)) {
+            once(all, "cancel " + tag, () -> cancel(tag));
+            once(all, "end " + tag, () -> ends(tag));
+        }
+        for (String tag : List.copyOf(written)) {
+            all.add(event("answer " + tag, () -> answer(tag)));
+            once(all, "spoilt " + tag, () -> inbox.add(() -> desk.started(TARGET, link, tag, null)));
+            once(all, "full " + tag, () -> over(tag, 34, false));
+        }
+        for (String tag : List.copyOf(standing)) {
+            once(all, "second " + tag, () -> inbox.add(() -> desk.started(TARGET, link, tag, "c=second")));
+            all.add(event("release " + tag, () -> over(tag, 16, false)));
+        }
+        if (up && (!unsent.isEmpty() || !written.isEmpty())) {
+            once(all, "reset", () -> lost(true));
+        }
+        once(all, "writer held", () -> writerHeld = true);
+        once(all, "decider held", () -> deciderHeld = true);
+        if (offered > 0) {
+            once(all, "drain", () -> inbox.add(this::drain));
+            once(all, "remove", () -> inbox.add(this::remove));
+            once(all, "term", () -> inbox.add(desk::closing));
+        }
+        return all;
+    }
+
+    private void once(List<Event> all, String name, Runnable what) {
+        if (!done.contains(name)) {
+            all.add(event(name, () -> {
+                done.add(name);
+                what.run();
+            }));
+        }
+    }
+
+    /** After each, whatever is not held goes on. */
+    private Event event(String name, Runnable what) {
+        return new Event(name, () -> {
+            what.run();
+            settle();
+        });
+    }
+
+    private void settle() {
+        while (!deciderHeld && !inbox.isEmpty() || !writerHeld && up && !unsent.isEmpty()) {
+            if (!deciderHeld && !inbox.isEmpty()) {
+                inbox.poll().run();
+            } else {
+                Outgoing next = unsent.poll();
+                next.bytes();
+                next.done();
+            }
+        }
+    }
+
+    @Override
+    public void quiet() {
+        if (!desk.known().isEmpty() || desk.open() != 0 || desk.standing() != 0 || !inbox.isEmpty()) {
+            rules.wrong("kept", "left over: " + desk.known() + " " + desk.open() + " " + desk.standing());
+        }
+        if (!written.isEmpty()) {
+            rules.wrong("kept", "still held at the switch: " + written);
+        }
+    }
+
+    private void time() {
+        for (Moment until = wheel.now().plus(STEP); wheel.now().before(until); settle()) {
+            wheel.turn(wheel.now().plus(TURN));
+            rules.at(wheel.now());
+        }
+    }
+
+    private void offer() {
+        int number = ++offered;
+        String tag = TinyDesk.tag(number);
+        Withdrawal caller = new Withdrawal();
+        callers.add(tag);
+        marks.put(tag, caller);
+        rules.taken(tag, wheel.now().plus(PATIENCE).plus(SLACK));
+        SetUp asked = new SetUp(number, TinyDesk.request("INVITE", number), tag, "00000000000000aa", number % 2,
+                wheel.now(), PATIENCE, 1, -1, 1, false, false, null, "v=0", caller);
+        inbox.add(() -> desk.setUp(asked));
+    }
+
+    private void leaves(String tag) {
+        callers.remove(tag);
+        rules.gone(tag);
+        marks.get(tag).make();
+    }
+
+    private void cancel(String tag) {
+        leaves(tag);
+        int number = (int) Long.parseLong(tag, 16);
+        inbox.add(() -> desk.withdrawn(number, TinyDesk.request("CANCEL", number)));
+    }
+
+    private void ends(String tag) {
+        leaves(tag);
+        inbox.add(() -> desk.lineOver(Long.parseLong(tag, 16)));
+    }
+
+    private void answer(String tag) {
+        written.remove(tag);
+        rules.ended(wheel.now(), tag, false);
+        standing.add(tag);
+        long by = link;
+        inbox.add(() -> desk.started(TARGET, by, tag, "c=" + tag));
+    }
+
+    private void over(String tag, int cause, boolean held) {
+        if (written.remove(tag)) {
+            rules.ended(wheel.now(), tag, held);
+        }
+        standing.remove(tag);
+        long by = link;
+        inbox.add(() -> desk.ended(TARGET, by, tag, cause, cause == 34 ? "no_circuit" : null, new float[0]));
+    }
+
+    /** Its connection is over and another is asked for, which is up at once where the first was. */
+    private void lost(boolean everUp) {
+        long by = link++;
+        List<Outgoing> never = List.copyOf(unsent);
+        unsent.clear();
+        written.forEach(tag -> rules.ended(wheel.now(), tag, true));
+        written.clear();
+        never.forEach(Outgoing::done);
+        inbox.add(() -> desk.connectionOver(TARGET, by, everUp));
+    }
+
+    private void drain() {
+        takesNew = false;
+        rules.drains(wheel.now(), "0", TARGET, true);
+        list(SwitchLine.State.DRAINING);
+    }
+
+    private void remove() {
+        takesNew = false;
+        rules.drains(wheel.now(), "0", TARGET, true);
+        list(SwitchLine.State.GONE);
+        // Its process ends some time after; until then it may still say something.
+        wheel.after(PROCESS_ENDS, () -> {
+            standing.clear();
+            lost(true);
+            inbox.add(() -> desk.switchOver(TARGET, null));
+        });
+    }
+
+    // ---- what the desk sends
+
+    @Override
+    public Queued start(long target, Start start, Runnable unsaid) {
+        String tag = start.tag();
+        boolean looks = plant != Plant.DEPARTED;
+        Revocable message = new Revocable(0, () -> {
+            boolean due = looks ? start.due(wheel.now()) : start.left(wheel.now()).longerThan(Span.ZERO);
+            if (!due || !takesNew && plant != Plant.DRAINED) {
+                return null;
+            }
+            rules.ring(wheel.now(), "0", tag, target);
+            written.add(tag);
+            return new byte[0];
+        }, () -> inbox.add(unsaid));
+        if (plant == Plant.NOT_REVOKED) {
+            // Written whatever became of it, as it was before: the sender's word comes too late.
+            unsent.add(Outgoing.of(new byte[0], () -> {
+                rules.ring(wheel.now(), "0", tag, target);
+                written.add(tag);
+            }));
+            message.bytes();
+            return new Queued(link, message);
+        }
+        unsent.add(message);
+        return new Queued(link, message);
+    }
+
+    @Override
+    public void finish(long target, long connection, String tag, int cause, Runnable told) {
+        if (plant == Plant.END_NOT_WRITTEN) {
+            inbox.add(told);
+        }
+        Runnable end = () -> {
+            if (written.remove(tag)) {
+                rules.ended(wheel.now(), tag, true);
+            }
+            standing.remove(tag);
+        };
+        unsent.add(new Outgoing() {
+            @Override
+            public int size() {
+                return 0;
+            }
+
+            @Override
+            public byte[] bytes() {
+                end.run();
+                return new byte[0];
+            }
+
+            @Override
+            public void done() {
+                // Lost with its connection, the switch gives up by itself what went by it.
+                end.run();
+                if (plant != Plant.END_NOT_WRITTEN) {
+                    inbox.add(told);
+                }
+            }
+        });
+    }
+
+    @Override
+    public boolean toCaller(long line, byte[] bytes) {
+        var message = Parser.lean(bytes, bytes.length).message();
+        String tag = message.callId();
+        if (message instanceof Request) {
+            if (callers.contains(tag)) {
+                rules.wrong(1, tag + " was released before its answer");
+            }
+            inbox.add(() -> desk.releaseHeard(tag));
+            return true;
+        }
+        Response answer = (Response) message;
+        if (!answer.headers().first("CSeq").endsWith("INVITE") || answer.status() == 487) {
+            return true;
+        }
+        if (marks.get(tag).made()) {
+            // A refusal may cross its leaving, and nobody waits for it; a good answer holds a circuit for nobody.
+            if (answer.success()) {
+                rules.wrong("departed", tag + " was served after it had left");
+            }
+            return true;
+        }
+        callers.remove(tag);
+        rules.answered(wheel.now(), tag);
+        if (answer.success()) {
+            if (!new String(answer.body()).equals("c=" + tag)) {
+                rules.wrong(1, tag + " was served with what no switch made for it");
+            }
+            inbox.add(() -> desk.acknowledged(tag));
+        }
+        return true;
+    }
+
+    @Override
+    public long anyLine(long but) {
+        return 1;
+    }
+
+    @Override
+    public void settled(long line, String tag) {
+        // Nothing here counts what a connection has open.
+    }
+
+    @Override
+    public void drop(long line, String why) {
+        rules.wrong("line", "dropped: " + why);
+    }
+
+    @Override
+    public void finished(long target, long connection, String tag) {
+        // Free on the platform.
+    }
+
+    @Override
+    public void note(int peer, byte[] note) {
+        rules.wrong("note", "notes are not allowed here");
+    }
+
+    @Override
+    public void log(String kind, String line) {
+        if (!kind.equals("switch-over") && !kind.equals("unsure")) {
+            rules.wrong("log", kind + ": " + line);
+        }
+    }
+}
