Names of the field: configuration, event loop, attempt, switch connections; standing contacts apart

No behaviour is changed. Placement is Configuration, Post is EventLoop, a ring outside the module is an attempt, SwitchLines is SwitchConnections in its package. Desk gives what stands to a class of its own, as it gave the releases before. The module keeps the operators' words; a caller's connection is still called a line in places.

--- a/src/main/java/martenslip/cli/Main.java
+++ b/src/main/java/martenslip/cli/Main.java
@@ -41,12 +41,12 @@
             reload(serving, asked);
         });
         try {
-            Path placed = Serve.placed();
+            Path configured = Serve.configured();
             Serve serve;
             try {
-                serve = new Serve(placed, Logic::new, System.err);
+                serve = new Serve(configured, Logic::new, System.err);
             } catch (IOException | RuntimeException e) {
-                System.err.println("martenslip: " + placed + ": " + e.getMessage());
+                System.err.println("martenslip: " + configured + ": " + e.getMessage());
                 System.exit(2);
                 return;
             }
--- a/src/main/java/martenslip/exchange/Crew.java
+++ b/src/main/java/martenslip/exchange/Crew.java
@@ -11,7 +11,7 @@
 import martenslip.lookout.Lookout;
 import martenslip.provision.Site;
 import martenslip.sip.transport.Arrival;
-import martenslip.wheel.Post;
+import martenslip.wheel.EventLoop;
 
 /**
  * The threads of an exchange: its lanes, the decider (on the only lane's thread where there is one, else on its own),
@@ -27,7 +27,7 @@
     private record ForDecider(Consumer<Decider> what) { }
 
     /** Who decides, on which thread. */
-    private record Seat(Post post, Decider decider, int count) { }
+    private record Seat(EventLoop loop, Decider decider, int count) { }
 
     private final Lane.Common common;
     private final Site site;
@@ -58,14 +58,14 @@
         lanes = new AtomicReferenceArray<>(count);
         for (int i = 0; i < count; i++) {
             estates[i] = new Estate(i, count);
-            lanes.set(i, lane(i, new Post(inline ? name : name + "-lane-" + i, ROOM)));
+            lanes.set(i, lane(i, new EventLoop(inline ? name : name + "-lane-" + i, ROOM)));
         }
         watch = new Thread(null, this::watch, name + "-lookout", 256 * 1024);
         watch.setDaemon(true);
     }
 
-    Post post(int lane) {
-        return lanes.get(lane).post;
+    EventLoop loop(int lane) {
+        return lanes.get(lane).loop;
     }
 
     Estate estate(int lane) {
@@ -76,29 +76,29 @@
         return replaced.get();
     }
 
-    private Lane lane(int number, Post post) {
+    private Lane lane(int number, EventLoop loop) {
         Lane[] self = new Lane[1];
         ToDecider reports = new ToDecider((report, refusable) -> {
-            if (post.fenced()) {
+            if (loop.fenced()) {
                 return false;
             }
             if (inline) {
                 report.accept(self[0].decider);
                 return true;
             }
-            Post to = seat.post();
+            EventLoop to = seat.loop();
             boolean passed = (!refusable || to.waiting() < Intake.MOST) && to.offer(new ForDecider(report));
             if (!passed) {
                 common.transport().drops().count(refusable ? "offer without room" : "report without room");
             }
             return passed;
         });
-        self[0] = new Lane(number, post, common, estates[number], reports, seeds.nextLong());
+        self[0] = new Lane(number, loop, common, estates[number], reports, seeds.nextLong());
         return self[0];
     }
 
     /** {@code only} is the lane on whose thread it decides, or null. */
-    private Seat seat(Post post, int number, Lane only) {
+    private Seat seat(EventLoop loop, int number, Lane only) {
         ToLanes hands = new ToLanes(count, new ToLanes.Way() {
             @Override
             public void toContacts(int lane, Consumer<Contacts> order) {
@@ -111,35 +111,36 @@
             }
 
             private void pass(int lane, Consumer<Lane> order) {
-                if (post.fenced()) {
+                if (loop.fenced()) {
                     return;
                 }
                 if (only != null) {
                     order.accept(only);
-                } else if (!lanes.get(lane).post.offer(new ForLane(order, number))) {
+                } else if (!lanes.get(lane).loop.offer(new ForLane(order, number))) {
                     common.transport().drops().count("order without room");
                 }
             }
         });
         // A successor must not draw as its predecessor did.
-        Decider decider = new Decider(site, maker, site.seed() + number, post.wheel(), hands, common.log());
+        Decider decider = new Decider(site, maker, site.seed() + number, loop.wheel(), hands, common.log());
         if (only != null) {
             only.decider = decider;
         }
-        return new Seat(post, decider, number);
+        return new Seat(loop, decider, number);
     }
 
     /** Once, with the sockets open. */
     void start() {
-        seat = inline ? seat(lanes.get(0).post, 0, lanes.get(0)) : seat(new Post(name + "-decider", ROOM), 0, null);
+        seat = inline ? seat(lanes.get(0).loop, 0, lanes.get(0)) : seat(new EventLoop(name + "-decider", ROOM), 0,
+                null);
         Decider decider = seat.decider();
         if (!inline) {
-            seat.post().start(new DeciderDuty(decider), decider::begin);
+            seat.loop().start(new DeciderDuty(decider), decider::begin);
         }
         for (int i = 0; i < count; i++) {
             Lane lane = lanes.get(i);
             boolean first = i == 0;
-            lane.post.start(new LaneDuty(lane), () -> {
+            lane.loop.start(new LaneDuty(lane), () -> {
                 if (first) {
                     lane.surroundings.start(true);
                 }
@@ -152,16 +153,16 @@
     }
 
     void tell(int lane, Consumer<Lane> what) {
-        put(lanes.get(lane).post, new ForLane(what, -1));
+        put(lanes.get(lane).loop, new ForLane(what, -1));
     }
 
     void tellDecider(Consumer<Decider> what) {
-        put(seat.post(), new ForDecider(what));
+        put(seat.loop(), new ForDecider(what));
     }
 
-    private void put(Post post, Object what) {
+    private void put(EventLoop loop, Object what) {
         try {
-            post.put(what, () -> common.transport().drops().count("waited for the inbox"));
+            loop.put(what, () -> common.transport().drops().count("waited for the inbox"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -186,7 +187,7 @@
     }
 
     /** Carries out a lane's work; in a process with one lane the decider's too. */
-    private final class LaneDuty implements Post.Duty {
+    private final class LaneDuty implements EventLoop.Duty {
         private final Lane lane;
 
         LaneDuty(Lane lane) {
@@ -206,7 +207,7 @@
 
         @Override
         public void after() {
-            if (inline && !lane.post.fenced()) {
+            if (inline && !lane.loop.fenced()) {
                 lane.decider.tellAll();
             }
         }
@@ -217,7 +218,7 @@
         }
     }
 
-    private final class DeciderDuty implements Post.Duty {
+    private final class DeciderDuty implements EventLoop.Duty {
         private final Decider decider;
 
         DeciderDuty(Decider decider) {
@@ -252,10 +253,10 @@
                 return;
             }
             for (int i = 0; i < count; i++) {
-                lookout.turned(i, lanes.get(i).post.turnedAt());
+                lookout.turned(i, lanes.get(i).loop.turnedAt());
             }
             if (!inline) {
-                lookout.turned(count, seat.post().turnedAt());
+                lookout.turned(count, seat.loop().turnedAt());
             }
             int stalled = lookout.look(new Moment(System.nanoTime()));
             if (stalled >= 0 && !over) {
@@ -271,16 +272,16 @@
 
     private void replaceLane(int number) {
         Lane old = lanes.get(number);
-        Object inHand = old.post.fence();
+        Object inHand = old.loop.fence();
         estates[number].past(old.figures);
-        Post post = old.post.successor(old.post.name() + "+");
-        Lane next = lane(number, post);
+        EventLoop loop = old.loop.successor(old.loop.name() + "+");
+        Lane next = lane(number, loop);
         if (inline) {
-            seat = seat(post, seat.count() + 1, next);
+            seat = seat(loop, seat.count() + 1, next);
         }
         lanes.set(number, next);
         LaneDuty duty = new LaneDuty(next);
-        post.start(duty, () -> {
+        loop.start(duty, () -> {
             if (number == 0) {
                 next.surroundings.start(false);
             }
@@ -301,7 +302,7 @@
     }
 
     /** What the stalled thread was amid of; transactions and numbers of rings see to it that nothing is done twice. */
-    private static void again(Post.Duty duty, Object inHand) {
+    private static void again(EventLoop.Duty duty, Object inHand) {
         if (inHand instanceof Arrival || inHand instanceof ForLane order && order.decider() >= 0) {
             duty.take(inHand);
         }
@@ -309,12 +310,12 @@
 
     private void replaceDecider() {
         Seat old = seat;
-        Object inHand = old.post().fence();
-        Post post = old.post().successor(old.post().name() + "+");
-        seat = seat(post, old.count() + 1, null);
+        Object inHand = old.loop().fence();
+        EventLoop loop = old.loop().successor(old.loop().name() + "+");
+        seat = seat(loop, old.count() + 1, null);
         DeciderDuty duty = new DeciderDuty(seat.decider());
         Decider decider = seat.decider();
-        post.start(duty, () -> {
+        loop.start(duty, () -> {
             decider.listed(martenslip.control.Controller.ListKind.WHOLE, common.known().lines());
             decider.circuits(common.known().groups());
             decider.begin();
@@ -336,10 +337,10 @@
         over = true;
         watch.interrupt();
         for (int i = 0; i < count; i++) {
-            lanes.get(i).post.close();
+            lanes.get(i).loop.close();
         }
         if (seat != null) {
-            seat.post().close();
+            seat.loop().close();
         }
     }
 }
--- a/src/main/java/martenslip/exchange/Exchange.java
+++ b/src/main/java/martenslip/exchange/Exchange.java
@@ -46,7 +46,7 @@
         crew = new Crew(new Lane.Common(site, transport, new Known(), kept, text, log), maker, this::fault,
                 // Never from the configured seed: a restart would use the branches and tags of its last run again.
                 new SecureRandom().nextLong());
-        intake.to(crew::post);
+        intake.to(crew::loop);
     }
 
     private void fault(Throwable fault) {
--- a/src/main/java/martenslip/exchange/Intake.java
+++ b/src/main/java/martenslip/exchange/Intake.java
@@ -5,18 +5,18 @@
 import martenslip.sip.transport.Arrival;
 import martenslip.sip.transport.Drops;
 import martenslip.sip.transport.Sink;
-import martenslip.wheel.Post;
+import martenslip.wheel.EventLoop;
 
 /**
  * Leads what arrives to the lane of its Call-ID, without a lock of its own. At {@link #MOST} waiting a lane takes no
  * more from outside, so that orders and reports from inside find room: datagrams are lost, connections held up.
  */
 final class Intake implements Sink {
-    /** A quarter of a post's inbox. */
+    /** A quarter of a loop's inbox. */
     static final int MOST = 16_384;
 
     private final int lanes;
-    private IntFunction<Post> posts;
+    private IntFunction<EventLoop> loops;
     private Drops drops;
 
     Intake(int lanes) {
@@ -24,8 +24,8 @@
     }
 
     /** Before the sockets are opened, as {@link #drops} is. */
-    void to(IntFunction<Post> lanesPosts) {
-        posts = lanesPosts;
+    void to(IntFunction<EventLoop> lanesLoops) {
+        loops = lanesLoops;
     }
 
     void drops(Drops counts) {
@@ -34,24 +34,24 @@
 
     @Override
     public boolean offer(Arrival arrival) {
-        Post post = posts.apply(lane(arrival));
-        return post.waiting() < MOST && post.offer(arrival);
+        EventLoop loop = loops.apply(lane(arrival));
+        return loop.waiting() < MOST && loop.offer(arrival);
     }
 
     @Override
     public void put(Arrival arrival) throws InterruptedException {
         if (arrival instanceof Arrival.Broken) {
             for (int i = 0; i < lanes; i++) {
-                posts.apply(i).put(arrival, () -> drops.count("waited for the inbox"));
+                loops.apply(i).put(arrival, () -> drops.count("waited for the inbox"));
             }
             return;
         }
         int lane = lane(arrival);
-        while (posts.apply(lane).waiting() >= MOST) {
+        while (loops.apply(lane).waiting() >= MOST) {
             drops.count("waited for the inbox");
             java.util.concurrent.TimeUnit.MILLISECONDS.sleep(5);
         }
-        posts.apply(lane).put(arrival, () -> drops.count("waited for the inbox"));
+        loops.apply(lane).put(arrival, () -> drops.count("waited for the inbox"));
     }
 
     private int lane(Arrival arrival) {
--- a/src/main/java/martenslip/exchange/Lane.java
+++ b/src/main/java/martenslip/exchange/Lane.java
@@ -13,7 +13,7 @@
 import martenslip.sip.transaction.Timers;
 import martenslip.sip.transport.Hop;
 import martenslip.sip.transport.Transport;
-import martenslip.wheel.Post;
+import martenslip.wheel.EventLoop;
 
 /**
  * One thread with the transactions, dialogs and contacts whose Call-IDs lead to it. What it sends passes its fence at
@@ -26,7 +26,7 @@
     record Common(Site site, Transport transport, Known known, KeptList kept, SwitchText text, EventLog log) { }
 
     final int number;
-    final Post post;
+    final EventLoop loop;
     final Contacts contacts;
     final Surroundings surroundings;
     final Figures figures = new Figures();
@@ -37,16 +37,16 @@
     Decider decider;
 
     /** {@code seed} must differ at each start: branches and tags of an earlier one may still be about. */
-    Lane(int number, Post post, Common common, Estate estate, Reports reports, long seed) {
+    Lane(int number, EventLoop loop, Common common, Estate estate, Reports reports, long seed) {
         this.number = number;
-        this.post = post;
+        this.loop = loop;
         this.common = common;
         Site site = common.site();
         int lanes = site.limits().lanes();
         int most = Math.min(1 << 20, site.limits().mostOpen() * TRANSACTIONS_A_CONTACT) / lanes;
         Branches branches = new Branches(seed, callId -> of(callId, lanes) == number);
-        calls = new Calls(post.wheel(), Timers.QUICK, outlet(), branches, user(), common.transport().drops(), most);
-        contacts = new Contacts(site, calls, number, estate, reports, post::fenced, common.log(),
+        calls = new Calls(loop.wheel(), Timers.QUICK, outlet(), branches, user(), common.transport().drops(), most);
+        contacts = new Contacts(site, calls, number, estate, reports, loop::fenced, common.log(),
                 figures);
         surroundings = new Surroundings(site, calls, reports, common.text(), common.known(), common.kept(),
                 common.log());
@@ -68,7 +68,7 @@
             @Override
             public boolean send(byte[] bytes, Hop to) {
                 planted.sending(bytes);
-                return post.fenced() || transport.send(bytes, to);
+                return loop.fenced() || transport.send(bytes, to);
             }
 
             @Override
@@ -96,7 +96,7 @@
 
             @Override
             public void broken(Hop hop, boolean everUp) {
-                common.log().info(post.wheel().now(), "connection-ended", "hop", hop, "ever_up", everUp);
+                common.log().info(loop.wheel().now(), "connection-ended", "hop", hop, "ever_up", everUp);
             }
 
             @Override
--- a/src/main/java/martenslip/lookout/Lookout.java
+++ b/src/main/java/martenslip/lookout/Lookout.java
@@ -15,7 +15,7 @@
  * is bounded.
  */
 public final class Lookout {
-    /** An idle post turns each 50 ms; collectors were seen to pause a busy process by up to 60. */
+    /** An idle loop turns each 50 ms; collectors were seen to pause a busy process by up to 60. */
     public static final Span STALL = Span.ofMillis(150);
     /** How often to look: a stall is met at most this much later. */
     public static final Span EVERY = Span.ofMillis(20);
--- a/src/main/java/martenslip/platform/Placement.java
+++ b/src/main/java/martenslip/platform/Configuration.java
@@ -15,12 +15,13 @@
  * What the platform tells one controller at its start and at each SIGHUP; read whole or not at all. An error names the
  * path in the file and the reason.
  */
-record Placement(String name, InetSocketAddress listen, long seed, int sockets, String limits, InetSocketAddress peerListen,
+record Configuration(String name, InetSocketAddress listen, long seed, int sockets, String limits,
+                 InetSocketAddress peerListen,
                  List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress journal, long position,
                  List<ListEvent> known, Map<String, String> settings) {
     private static final int MOST_BYTES = 4 << 20;
 
-    static Placement read(Path file) throws IOException {
+    static Configuration read(Path file) throws IOException {
         if (Files.size(file) > MOST_BYTES) {
             throw new IOException("over " + MOST_BYTES + " bytes");
         }
@@ -44,7 +45,7 @@
             }
         }
         Map<?, ?> limits = map(all.get("limits"), "limits");
-        return new Placement(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
+        return new Configuration(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
                 seed(text(all.get("seed"), "seed")), (int) Json.figure(limits.get("sockets"), "limits.sockets"),
                 limits.toString(),
                 optional(all.get("peer_listen"), "peer_listen"), List.copyOf(peers),
--- a/src/main/java/martenslip/platform/Roster.java
+++ b/src/main/java/martenslip/platform/Roster.java
@@ -14,7 +14,7 @@
 import martenslip.control.SwitchLine;
 import martenslip.platform.desk.Desk;
 import martenslip.platform.journal.ListEvent;
-import martenslip.platform.switchline.SwitchLines;
+import martenslip.platform.switchconnection.SwitchConnections;
 
 /**
  * The switch list: numbers for ids, since an address is used again and an id never; keeps the lines to the switches
@@ -24,7 +24,7 @@
     private record Known(long number, long startedMs) { }
 
     private final Desk desk;
-    private final SwitchLines lines;
+    private final SwitchConnections lines;
     private final List<String> zones;
     /** What the clock of the program shows less what the Unix clock shows, at the start. */
     private final Span offset;
@@ -32,7 +32,7 @@
     private final Map<String, Known> known = new LinkedHashMap<>();
     private long numbers;
 
-    Roster(Desk desk, SwitchLines lines, String zones, Moment now, long unixMs, Log log) {
+    Roster(Desk desk, SwitchConnections lines, String zones, Moment now, long unixMs, Log log) {
         this.desk = desk;
         this.lines = lines;
         this.zones = Arrays.asList(zones.split(","));
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -24,14 +24,14 @@
 import martenslip.platform.journal.Journal;
 import martenslip.platform.journal.ListEvent;
 import martenslip.platform.peer.Peers;
-import martenslip.platform.switchline.Load;
-import martenslip.platform.switchline.SwitchLines;
+import martenslip.platform.switchconnection.Load;
+import martenslip.platform.switchconnection.SwitchConnections;
 import martenslip.sip.message.Request;
 import martenslip.sip.transport.Bounds;
 import martenslip.sip.transport.Drops;
 import martenslip.sip.transport.Queued;
 import martenslip.sip.transport.Writers;
-import martenslip.wheel.Post;
+import martenslip.wheel.EventLoop;
 import martenslip.wheel.Wheel;
 
 /** One controller in service on the platform: wires callers, switches, journal and peers to one deciding thread. */
@@ -60,16 +60,16 @@
     private final Log log;
     private final Drops drops = new Drops();
     private final Writers writers = new Writers("desk", 16);
-    private final Post post = new Post("desk", INBOX);
-    private final Wheel wheel = post.wheel();
+    private final EventLoop loop = new EventLoop("desk", INBOX);
+    private final Wheel wheel = loop.wheel();
     private final CountDownLatch done = new CountDownLatch(1);
     private final Desk desk;
     private final Callers callers;
-    private final SwitchLines switches;
+    private final SwitchConnections switches;
     private final Roster roster;
     private final Journal journal;
     private final Peers peers;
-    private final Placement start;
+    private final Configuration start;
     private volatile Thread decides;
     private volatile boolean ready;
     private boolean ends;
@@ -84,7 +84,7 @@
     Serve(Path file, Maker maker, PrintStream out, Supplier<Socket> sockets) throws IOException {
         this.file = file;
         log = new Log(out);
-        start = Placement.read(file);
+        start = Configuration.read(file);
         Map<String, String> settings = start.settings();
         Terms terms = terms(settings);
         Bounds bounds = new Bounds(MOST_LINES, Span.ofMillis(2000), Span.ofMillis(20_000), Span.ofMillis(1500),
@@ -94,7 +94,7 @@
         Span idle = span(settings, "policy-limits.conn-idle-ns", 600e9);
         Bounds toSwitches = new Bounds(256, idle.times(2), idle.times(2), Span.ofMillis(400), 256 * 1024,
                 Span.ofMillis(3000), connect);
-        switches = new SwitchLines(toSwitches, sockets, writers, wheel,
+        switches = new SwitchConnections(toSwitches, sockets, writers, wheel,
                 new Load(Arrays.asList(settings.getOrDefault("report.fields", "").split(","))), drops, this::turn,
                 fromSwitches);
         desk = new Desk(wheel, terms, outward);
@@ -104,14 +104,14 @@
         boolean notes = "true".equals(settings.get("policy-limits.peers")) && start.peerListen() != null;
         int own = (int) Double.parseDouble(settings.getOrDefault("me", "-1"));
         peers = notes ? new Peers(start.peerListen(), start.peers(), start.peersAll(), own, drops,
-                (peer, note) -> post.offer((Runnable) () -> desk.tell(to -> to.peerNote(wheel.now(), peer, note))))
+                (peer, note) -> loop.offer((Runnable) () -> desk.tell(to -> to.peerNote(wheel.now(), peer, note))))
                 : null;
         desk.module(maker.make(settings, start.seed(), wheel.now(), desk));
     }
 
     /** Begins to serve; the port that is listened on is returned. */
     public int open() throws IOException {
-        post.start(new Post.Duty() {
+        loop.start(new EventLoop.Duty() {
             @Override
             public void take(Object next) {
                 log.line("fault", "unknown piece of work " + next);
@@ -169,14 +169,14 @@
     private void told() {
         log.line("counts", desk.counts() + " open=" + desk.open() + " standing=" + desk.standing() + " unheard="
                 + desk.unheardReleases() + " lines=" + callers.count() + " switch-lines=" + switches.count()
-                + " threads=" + Thread.activeCount() + " waiting=" + post.waiting() + " drops=" + drops.counts());
+                + " threads=" + Thread.activeCount() + " waiting=" + loop.waiting() + " drops=" + drops.counts());
         wheel.after(TELL, this::told);
     }
 
-    /** SIGHUP: the file is read anew; only a whole good one counts, else the one in force stays. One at a time, in turn. */
+    /** SIGHUP: the file is read anew; only a whole good one counts, else the one in force stays. One at a time. */
     public synchronized void reload() {
         try {
-            Placement now = Placement.read(file);
+            Configuration now = Configuration.read(file);
             if (!now.settings().equals(start.settings())) {
                 log.line("reload", "other settings than at the start: they count from the next start on");
             }
@@ -220,7 +220,7 @@
     @Override
     public void close() {
         // First: connections that end from here on are no news of callers who went away.
-        post.close();
+        loop.close();
         try {
             callers.close();
         } catch (IOException e) {
@@ -240,7 +240,7 @@
             wheel.after(Span.ZERO, what);
             return;
         }
-        post.put(what, () -> drops.count("waited for the deciding thread"));
+        loop.put(what, () -> drops.count("waited for the deciding thread"));
     }
 
     private static Terms terms(Map<String, String> settings) throws IOException {
@@ -287,7 +287,7 @@
                 }
             };
             if (asked.standsAt() == null) {
-                return post.offer(take);
+                return loop.offer(take);
             }
             // It expects no answer that could refuse it, and nobody else would ever release it.
             turn(take);
@@ -321,7 +321,7 @@
         }
     };
 
-    private final SwitchLines.Heard fromSwitches = new SwitchLines.Heard() {
+    private final SwitchConnections.Heard fromSwitches = new SwitchConnections.Heard() {
         @Override
         public void started(long target, long connection, String tag, String description) {
             desk.started(target, connection, tag, description);
@@ -423,7 +423,7 @@
     };
 
     /** What the platform names in the environment; the address in the file is the one that counts. */
-    public static Path placed() throws IOException {
+    public static Path configured() throws IOException {
         String file = System.getenv("ROUTER_CONFIG");
         if (file == null || file.isBlank()) {
             throw new IOException("ROUTER_CONFIG is not set");
@@ -431,7 +431,7 @@
         return Path.of(file);
     }
 
-    /** For checks: looks until it holds; a step at a time on the deciding thread, so that what is queued comes first. */
+    /** For checks: looks until it holds, each time on the deciding thread, so that what is queued comes first. */
     void awaits(BooleanSupplier held) throws InterruptedException {
         AtomicBoolean holds = new AtomicBoolean();
         for (long begun = System.nanoTime(); !holds.get(); ) {
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -26,8 +25,8 @@
  * The contacts of one controller on the platform: what arrives becomes news for the module, what the module orders
  * becomes messages. It decides nothing. One thread, time of its wheel, so it runs on driven time too.
  *
- * <p>An order that fails at once, and the end of a ring that was called off, become further news and never reach back
- * into a module that is amid another.
+ * <p>An order that fails at once, and the end of an attempt that was called off, become further news and never reach
+ * back into a module that is amid another.
  */
 public final class Desk implements Orders {
     private static final float[] NO_REPORT = {};
@@ -37,8 +36,8 @@
     private final Outward out;
     private final Map<String, Taken> byTag = new HashMap<>();
     private final Map<Long, Taken> byId = new LinkedHashMap<>();
-    private final Map<Long, Taken> ringing = new LinkedHashMap<>();
-    private final Map<String, Taken> standing = new LinkedHashMap<>();
+    private final Map<Long, Taken> underWay = new LinkedHashMap<>();
+    private final Standing standing;
     private final Releases releases;
     /** Sizes of the groups as they were told last. */
     private final Map<Long, Integer> sizes = new HashMap<>();
@@ -54,6 +53,7 @@
         this.terms = terms;
         this.out = out;
         releases = new Releases(wheel, out);
+        standing = new Standing(out, releases, this::standingOver);
     }
 
     /** The module that was made with this desk as its orders. */
@@ -71,11 +71,11 @@
     }
 
     public int standing() {
-        return standing.size();
+        return standing.count();
     }
 
     public boolean standsAt(long target) {
-        return standing.values().stream().anyMatch(one -> one.ring.target == target);
+        return standing.at(target);
     }
 
     public int unheardReleases() {
@@ -150,14 +150,11 @@
             return;
         }
         Taken one = new Taken(++ids, asked);
-        one.asked = null;
         one.open = false;
-        one.stands = true;
         one.acknowledged = true;
-        one.stoodAt = wheel.now();
-        one.ring = new Taken.Ring(-1, target, null, wheel.now());
+        one.attempt = new Taken.Attempt(-1, target, null, wheel.now());
         byTag.put(one.tag, one);
-        standing.put(one.tag, one);
+        standing.add(one, wheel.now());
         counts.inherited++;
     }
 
@@ -194,17 +191,14 @@
     }
 
     public void released(long line, Request bye) {
-        Taken one = standing.get(bye.callId());
         Taken early = byTag.get(bye.callId());
-        if (one == null && (early == null || !early.open || early.line != line)) {
-            out.toCaller(line, Replies.plain(bye, 481, "Call/Transaction Does Not Exist"));
-            return;
-        }
-        out.toCaller(line, Replies.plain(bye, 200, "OK"));
-        if (one != null) {
-            out.finish(one.ring.target, one.ring.connection(), one.tag, Ended.NORMAL, () -> { });
-            standingOver(one, Cause.CALLED_OFF, NO_REPORT);
-        } else {
+        boolean open = early != null && early.open && early.line == line;
+        boolean stands = early != null && early.stands;
+        out.toCaller(line, open || stands ? Replies.plain(bye, 200, "OK")
+                : Replies.plain(bye, 481, "Call/Transaction Does Not Exist"));
+        if (stands) {
+            standing.releasedByCaller(bye.callId());
+        } else if (open) {
             // RFC 3261 15.1.2: what is pending is still answered.
             leaves(early);
         }
@@ -212,10 +206,7 @@
 
     /** The caller has the good answer. */
     public void acknowledged(String tag) {
-        Taken one = standing.get(tag);
-        if (one != null) {
-            one.acknowledged = true;
-        }
+        standing.acknowledged(tag);
     }
 
     /** The caller has taken a release, or knows nothing of it. */
@@ -230,21 +221,7 @@
                 callerGone(one);
             }
         }
-        List<Taken> unsure = new ArrayList<>();
-        for (Taken one : standing.values()) {
-            if (!one.acknowledged && one.line == line) {
-                unsure.add(one);
-            }
-        }
-        if (!unsure.isEmpty()) {
-            out.log("unsure", unsure.size() + " good answers not acknowledged on a line that ended");
-        }
-        // Its good answer may not have come through, and nobody else would ever release it.
-        for (Taken one : unsure) {
-            out.finish(one.ring.target, one.ring.connection(), one.tag, Ended.NORMAL, () -> { });
-            release(one, Ended.CUT);
-            standingOver(one, Cause.CALLED_OFF, NO_REPORT);
-        }
+        standing.connectionOver(line);
     }
 
     // ---- what switches say
@@ -258,7 +235,7 @@
             // Known to have gone, though the news of it is still on its way: it takes no answer as good any more.
             leaves(one);
         }
-        if (one.ring == null || one.ring.givenUp) {
+        if (one.attempt == null || one.attempt.givenUp) {
             // Its end is on its way to the switch, by the module's order or by the desk's.
             return;
         }
@@ -267,15 +244,12 @@
             return;
         }
         Request invite = one.asked.invite();
-        int number = one.ring.number;
-        Span took = wheel.now().since(one.ring.begun);
-        one.ring.limit.cancel();
-        ringing.remove(one.id);
+        int number = one.attempt.number;
+        Span took = wheel.now().since(one.attempt.begun);
+        one.attempt.limit.cancel();
+        underWay.remove(one.id);
         closed(one);
-        one.stands = true;
-        one.stoodAt = wheel.now();
-        one.asked = null;
-        standing.put(tag, one);
+        standing.add(one, wheel.now());
         counts.stood++;
         boolean said = out.toCaller(one.line, Replies.stands(invite, description.getBytes(StandardCharsets.UTF_8)));
         tell(to -> to.stands(wheel.now(), one.id, number, target, took));
@@ -290,7 +264,7 @@
         if (one == null || !out(one, target)) {
             return;
         }
-        if (one.ring.givenUp && !one.stands) {
+        if (one.attempt.givenUp && !one.stands) {
             // It crossed the end that is on its way there, which counts; what it says of circuits is true all the same.
             if (report.length > 0) {
                 load(target, report);
@@ -298,19 +272,18 @@
             return;
         }
         if (one.stands) {
-            release(one, cause == Ended.NORMAL ? Ended.NORMAL : Ended.CUT);
-            standingOver(one, Ended.ofStanding(cause), report);
+            standing.releasedBySwitch(one, cause, report);
         } else {
             Ended end = Ended.ofRing(cause, note);
             told(target, report);
-            ringOver(one, end.cause(), end.blame(), state(one, end, report));
+            attemptOver(one, end.cause(), end.blame(), state(one, end, report));
         }
     }
 
     /** An answer counts for the attempt that is out; to one that was never written there is none. */
     private static boolean out(Taken one, long target) {
-        return one.ring != null && one.ring.target == target && (one.ring.queued == null
-                || one.ring.queued.message().written());
+        return one.attempt != null && one.attempt.target == target && (one.attempt.queued == null
+                || one.attempt.queued.message().written());
     }
 
     public void load(long target, float[] report) {
@@ -330,7 +303,7 @@
      */
     private float[] state(Taken one, Ended end, float[] report) {
         boolean full = end.cause() == Cause.NOT_SENT && end.blame() == Blame.NO_CIRCUIT;
-        Integer size = sizes.get(one.ring.target);
+        Integer size = sizes.get(one.attempt.target);
         return full && report.length == 0 && size != null ? new float[] {one.asked.width() - 1, size}
                 : report;
     }
@@ -342,10 +315,10 @@
 
     /** A connection is over; the rings that went by it are given up, what stands is not touched. */
     public void connectionOver(long target, long connection, boolean everUp) {
-        for (Taken one : List.copyOf(ringing.values())) {
-            if (one.ring.connection() == connection) {
-                boolean never = one.ring.revoked();
-                ringOver(one, !everUp ? Cause.UNREACHABLE : never ? Cause.NOT_SENT : Cause.CUT, Blame.NONE,
+        for (Taken one : List.copyOf(underWay.values())) {
+            if (one.attempt.connection() == connection) {
+                boolean never = one.attempt.revoked();
+                attemptOver(one, !everUp ? Cause.UNREACHABLE : never ? Cause.NOT_SENT : Cause.CUT, Blame.NONE,
                         NO_REPORT);
             }
         }
@@ -353,17 +326,7 @@
 
     /** The process behind a switch has ended: what stood there before a moment is over, and no release will come. */
     public void switchOver(long target, Moment before) {
-        int over = 0;
-        for (Taken one : List.copyOf(standing.values())) {
-            if (one.ring.target == target && (before == null || one.stoodAt.before(before))) {
-                over++;
-                release(one, Ended.CUT);
-                standingOver(one, Cause.CUT, NO_REPORT);
-            }
-        }
-        if (over > 0) {
-            out.log("switch-over", over + " contacts stood at switch " + target);
-        }
+        standing.processOver(target, before);
     }
 
     // ---- ends
@@ -373,56 +336,56 @@
         one.lastWord.cancel();
         byId.remove(one.id);
         out.settled(one.line, one.tag);
-        if (one.ring == null) {
+        if (one.attempt == null) {
             byTag.remove(one.tag);
         }
     }
 
     private void standingOver(Taken one, Cause cause, float[] report) {
-        standing.remove(one.tag);
         byTag.remove(one.tag);
-        if (one.ring.number < 0) {
+        Taken.Attempt was = one.attempt;
+        if (was.number < 0) {
             // The module never knew it: the report still tells of circuits.
             if (report.length > 0) {
-                load(one.ring.target, report);
+                load(was.target, report);
             }
             return;
         }
-        Span took = wheel.now().since(one.ring.begun);
-        RingEnd end = new RingEnd(one.id, one.ring.number, one.ring.target, cause, Blame.NONE, took, true, report);
-        tell(to -> to.ringEnded(wheel.now(), end));
+        Span took = wheel.now().since(was.begun);
+        tell(to -> to.ringEnded(wheel.now(), new RingEnd(one.id, was.number, was.target, cause, Blame.NONE, took, true,
+                report)));
     }
 
     /**
-     * Gives a ring up toward its switch. One whose write has not begun is taken back: it was never sent, and the switch
-     * hears nothing of it. Of one that was, the end counts once it is written, as the release does that follows it.
+     * Gives an attempt up toward its switch. One whose write has not begun is taken back: it was never sent, and the
+     * switch hears nothing of it. Of one that was, the end counts once it is written, as the release after it does.
      */
     private void giveUp(Taken one, Cause cause) {
-        Taken.Ring ring = one.ring;
-        if (ring.revoked()) {
-            ringOver(one, Cause.NOT_SENT, Blame.NONE, NO_REPORT);
+        Taken.Attempt attempt = one.attempt;
+        if (attempt.revoked()) {
+            attemptOver(one, Cause.NOT_SENT, Blame.NONE, NO_REPORT);
             return;
         }
-        ring.limit.cancel();
-        ring.givenUp = true;
-        out.finish(ring.target, ring.connection(), one.tag, Ended.NORMAL, () -> {
-            if (one.ring == ring) {
-                ringOver(one, cause, Blame.NONE, NO_REPORT);
+        attempt.limit.cancel();
+        attempt.givenUp = true;
+        out.finish(attempt.target, attempt.connection(), one.tag, Ended.NORMAL, () -> {
+            if (one.attempt == attempt) {
+                attemptOver(one, cause, Blame.NONE, NO_REPORT);
             }
         });
     }
 
-    private void ringOver(Taken one, Cause cause, Blame blame, float[] report) {
-        Taken.Ring ring = one.ring;
-        ring.limit.cancel();
-        ringing.remove(one.id);
-        one.ring = null;
+    private void attemptOver(Taken one, Cause cause, Blame blame, float[] report) {
+        Taken.Attempt attempt = one.attempt;
+        attempt.limit.cancel();
+        underWay.remove(one.id);
+        one.attempt = null;
         if (!one.open) {
             byTag.remove(one.tag);
         }
         counts.ended(cause, blame);
-        Span took = wheel.now().since(ring.begun);
-        tell(to -> to.ringEnded(wheel.now(), new RingEnd(one.id, ring.number, ring.target, cause, blame, took,
+        Span took = wheel.now().since(attempt.begun);
+        tell(to -> to.ringEnded(wheel.now(), new RingEnd(one.id, attempt.number, attempt.target, cause, blame, took,
                 !one.open, report)));
     }
 
@@ -435,31 +398,27 @@
         callerGone(one);
     }
 
-    private void release(Taken one, int cause) {
-        releases.release(one.tag, one.key, cause, one.line);
-    }
-
     // ---- what the module orders
 
     @Override
     public void ring(long contact, long target, Span limit) {
         Taken one = byId.get(contact);
-        if (one == null || one.ring != null) {
-            out.log("fault", "a ring for a contact that is over or rings");
+        if (one == null || one.attempt != null) {
+            out.log("fault", "an attempt for a contact that is over or has one out");
             return;
         }
-        int number = one.rings++;
+        int number = one.attempts++;
         counts.rings++;
         SetUp asked = one.asked;
         Moment until = wheel.now().plus(limit);
         Queued queued = asked.caller().made() ? null : out.start(target, new Start(one.tag,
                 terms.skills().get(asked.skill()), one.key, asked.description(), until, asked.caller()),
                 () -> unsent(one, number));
-        Taken.Ring ring = new Taken.Ring(number, target, queued, wheel.now());
-        one.ring = ring;
-        ringing.put(one.id, one);
-        ring.limit = wheel.at(until, () -> {
-            if (one.ring == ring) {
+        Taken.Attempt attempt = new Taken.Attempt(number, target, queued, wheel.now());
+        one.attempt = attempt;
+        underWay.put(one.id, one);
+        attempt.limit = wheel.at(until, () -> {
+            if (one.attempt == attempt) {
                 giveUp(one, Cause.TIMED_OUT);
             }
         });
@@ -467,8 +426,8 @@
             news.add(to -> leaves(one));
         } else if (queued == null) {
             news.add(to -> {
-                if (one.ring == ring) {
-                    ringOver(one, Cause.UNREACHABLE, Blame.NONE, NO_REPORT);
+                if (one.attempt == attempt) {
+                    attemptOver(one, Cause.UNREACHABLE, Blame.NONE, NO_REPORT);
                 }
             });
         }
@@ -476,26 +435,26 @@
 
     /** An attempt's reason no longer held when its turn to be written came. */
     private void unsent(Taken one, int number) {
-        if (one.ring != null && one.ring.number == number) {
-            ringOver(one, Cause.NOT_SENT, Blame.NONE, NO_REPORT);
+        if (one.attempt != null && one.attempt.number == number) {
+            attemptOver(one, Cause.NOT_SENT, Blame.NONE, NO_REPORT);
         }
     }
 
     @Override
     public void callOff(long contact, int number) {
-        Taken one = ringing.get(contact);
-        if (one == null || one.ring.number != number || one.ring.givenUp) {
+        Taken one = underWay.get(contact);
+        if (one == null || one.attempt.number != number || one.attempt.givenUp) {
             return;
         }
-        Taken.Ring ring = one.ring;
-        if (!ring.revoked()) {
-            out.finish(ring.target, ring.connection(), one.tag, Ended.NORMAL, () -> { });
+        Taken.Attempt attempt = one.attempt;
+        if (!attempt.revoked()) {
+            out.finish(attempt.target, attempt.connection(), one.tag, Ended.NORMAL, () -> { });
         }
-        ring.givenUp = true;
+        attempt.givenUp = true;
         // Called within the module: how it ended is told after, when it is known whether the contact is over.
         news.add(to -> {
-            if (one.ring == ring) {
-                ringOver(one, ring.revoked() ? Cause.NOT_SENT : Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
+            if (one.attempt == attempt) {
+                attemptOver(one, attempt.revoked() ? Cause.NOT_SENT : Cause.CALLED_OFF, Blame.NONE, NO_REPORT);
             }
         });
     }
--- a/src/main/java/martenslip/platform/desk/Taken.java
+++ b/src/main/java/martenslip/platform/desk/Taken.java
@@ -6,11 +6,11 @@
 
 /**
  * A contact from its set-up until nothing of it is left: open until its final answer, then standing where that was
- * good. It may outlast its answer with a ring still out.
+ * good. It may outlast its answer with an attempt still out.
  */
 final class Taken {
-    /** A ring that is out; {@code queued} is null where no connection could be had, or none is known. */
-    static final class Ring {
+    /** An attempt that is out; {@code queued} is null where no connection could be had, or none is known. */
+    static final class Attempt {
         final int number;
         final long target;
         final Queued queued;
@@ -18,7 +18,7 @@
         Wheel.Timer limit;
         boolean givenUp;
 
-        Ring(int number, long target, Queued queued, Moment begun) {
+        Attempt(int number, long target, Queued queued, Moment begun) {
             this.number = number;
             this.target = target;
             this.queued = queued;
@@ -41,8 +41,8 @@
     final long line;
     SetUp asked;
     Wheel.Timer lastWord;
-    int rings;
-    Ring ring;
+    int attempts;
+    Attempt attempt;
     boolean open = true;
     boolean stands;
     boolean acknowledged;
--- a/src/main/java/martenslip/platform/switchline/SwitchLines.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -1,4 +1,4 @@
-package martenslip.platform.switchline;
+package martenslip.platform.switchconnection;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -34,7 +34,7 @@
  * what comes by two connections overtakes each other by milliseconds, and a release's report that is older than the
  * last state would stand for it. The last state of the others is kept for when the first ends.
  */
-public final class SwitchLines {
+public final class SwitchConnections {
     /** Runs something on the deciding thread; waits for room. */
     public interface Turn {
         void run(Runnable what) throws InterruptedException;
@@ -126,8 +126,8 @@
     private boolean closing;
 
     /** {@code sockets} makes one not yet connected for each connection. */
-    public SwitchLines(Bounds bounds, Supplier<Socket> sockets, Writers writers, Wheel wheel, Load loads, Drops drops,
-                       Turn turn, Heard heard) {
+    public SwitchConnections(Bounds bounds, Supplier<Socket> sockets, Writers writers, Wheel wheel, Load loads,
+                             Drops drops, Turn turn, Heard heard) {
         this.bounds = bounds;
         this.sockets = sockets;
         this.writers = writers;
@@ -138,7 +138,7 @@
         this.heard = heard;
     }
 
-    /** A switch is on the list, or still is. One that drains may take no further connection and is alive all the same. */
+    /** A switch is on the list, or still is. One that drains may take no further connection and lives all the same. */
     public void listed(long id, InetSocketAddress at, boolean drains) {
         Far far = fars.get(id);
         if (far == null) {
--- a/src/main/java/martenslip/platform/switchline/SwitchSays.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchSays.java
@@ -1,4 +1,4 @@
-package martenslip.platform.switchline;
+package martenslip.platform.switchconnection;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/martenslip/sip/Endpoint.java
+++ b/src/main/java/martenslip/sip/Endpoint.java
@@ -16,7 +16,7 @@
 import martenslip.sip.transport.Hop;
 import martenslip.sip.transport.Sink;
 import martenslip.sip.transport.Transport;
-import martenslip.wheel.Post;
+import martenslip.wheel.EventLoop;
 import martenslip.wheel.Wheel;
 
 /**
@@ -31,7 +31,7 @@
         boolean takes(Message message, Hop from);
     }
 
-    private final Post post;
+    private final EventLoop loop;
     private final Transport transport;
     private final Consumer<Throwable> faults;
     private Calls calls;
@@ -40,16 +40,16 @@
 
     public Endpoint(String name, Bounds bounds, Gate gate, Consumer<Throwable> faults) {
         this.faults = faults;
-        post = new Post(name, INBOX);
+        loop = new EventLoop(name, INBOX);
         transport = new Transport(name, bounds, new Sink() {
             @Override
             public boolean offer(Arrival arrival) {
-                return post.offer(arrival);
+                return loop.offer(arrival);
             }
 
             @Override
             public void put(Arrival arrival) throws InterruptedException {
-                post.put(arrival, () -> drops().count("waited for the inbox"));
+                loop.put(arrival, () -> drops().count("waited for the inbox"));
             }
         }, gate);
     }
@@ -63,7 +63,7 @@
     }
 
     public Wheel wheel() {
-        return post.wheel();
+        return loop.wheel();
     }
 
     public Calls calls() {
@@ -84,8 +84,8 @@
     public void start(CallUser user, First before, Runnable afterTurn, Timers timers, long seed, int most) {
         first = before;
         after = afterTurn;
-        calls = new Calls(post.wheel(), timers, outlet(), new Branches(seed), user, drops(), most);
-        post.start(duty(), () -> { });
+        calls = new Calls(loop.wheel(), timers, outlet(), new Branches(seed), user, drops(), most);
+        loop.start(duty(), () -> { });
     }
 
     private Outlet outlet() {
@@ -105,14 +105,14 @@
     /** Runs on the endpoint's thread in its next turn; waits while the inbox is full. Any other thread. */
     public void run(Runnable what) {
         try {
-            post.put(what, () -> drops().count("waited for the inbox"));
+            loop.put(what, () -> drops().count("waited for the inbox"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private Post.Duty duty() {
-        return new Post.Duty() {
+    private EventLoop.Duty duty() {
+        return new EventLoop.Duty() {
             @Override
             public void take(Object next) {
                 boolean taken = next instanceof Arrival.Received received
@@ -138,6 +138,6 @@
     @Override
     public void close() {
         transport.close();
-        post.close();
+        loop.close();
     }
 }
--- a/src/main/java/martenslip/wheel/Post.java
+++ b/src/main/java/martenslip/wheel/EventLoop.java
@@ -6,16 +6,16 @@
 
 /**
  * A thread that owns a wheel and takes what stands in its inbox, in turns: it reads the clock once a turn, rings what
- * is due, takes at most {@link #BATCH} and ends the turn. A post that has stalled can be fenced: another one, begun
+ * is due, takes at most {@link #BATCH} and ends the turn. A loop that has stalled can be fenced: another one, begun
  * with {@link #successor}, then goes on with the same inbox, and the fenced one takes nothing more, should it wake.
  */
-public final class Post implements AutoCloseable {
+public final class EventLoop implements AutoCloseable {
     private static final int BATCH = 256;
     private static final int STACK = 1 << 20;
     /** With thousands of timers one is due in every tick; without arrivals they wait this long for each other. */
     private static final long REST = 2_000_000;
 
-    /** What a post does; all is called by its thread. */
+    /** What a loop does; all is called by its thread. */
     public interface Duty {
         void take(Object next);
 
@@ -37,11 +37,11 @@
     private volatile long turnAt;
     private volatile Object inHand;
 
-    public Post(String name, int room) {
+    public EventLoop(String name, int room) {
         this(name, new ArrayBlockingQueue<>(room));
     }
 
-    private Post(String name, ArrayBlockingQueue<Object> inbox) {
+    private EventLoop(String name, ArrayBlockingQueue<Object> inbox) {
         this.name = name;
         this.inbox = inbox;
         wheel = new Wheel(new Moment(System.nanoTime()));
@@ -71,7 +71,7 @@
         return inbox.offer(one);
     }
 
-    /** Waits for room in steps; {@code waited} is run for each step that was in vain. False where the post closes. */
+    /** Waits for room in steps; {@code waited} is run for each step that was in vain. False where the loop closes. */
     public boolean put(Object one, Runnable waited) throws InterruptedException {
         while (!closing) {
             if (inbox.offer(one, 100, TimeUnit.MILLISECONDS)) {
@@ -82,7 +82,7 @@
         return false;
     }
 
-    /** When its last turn began, on the clock of {@link System#nanoTime}; an idle post turns at least each 50 ms. */
+    /** When its last turn began, on the clock of {@link System#nanoTime}; an idle loop turns at least each 50 ms. */
     public Moment turnedAt() {
         return new Moment(turnAt);
     }
@@ -97,15 +97,15 @@
         return fenced;
     }
 
-    /** From now on this post takes nothing more. What it was amid of is returned, or null. Any thread. */
+    /** From now on this loop takes nothing more. What it was amid of is returned, or null. Any thread. */
     public Object fence() {
         fenced = true;
         return inHand;
     }
 
-    /** A post with the inbox of this one, which must have been fenced. */
-    public Post successor(String itsName) {
-        return new Post(itsName, inbox);
+    /** A loop with the inbox of this one, which must have been fenced. */
+    public EventLoop successor(String itsName) {
+        return new EventLoop(itsName, inbox);
     }
 
     private void work() {
--- a/src/test/java/martenslip/ArchitectureTest.java
+++ b/src/test/java/martenslip/ArchitectureTest.java
@@ -88,7 +88,7 @@
     /** The desk takes what the sockets' packages bring; none of these knows another, and the desk knows none. */
     @Test
     public void partsOfTheControllerInServiceMeetAtTheDesk() {
-        String[] parts = {"caller", "switchline", "journal", "peer"};
+        String[] parts = {"caller", "switchconnection", "journal", "peer"};
         for (String part : parts) {
             noClasses().that().resideInAPackage("martenslip.platform.desk").should().dependOnClassesThat(
                     resideInAPackage("martenslip.platform." + part)).check(all);
@@ -117,7 +117,7 @@
         noClasses().that().resideInAnyPackage("martenslip", "martenslip.exchange", "martenslip.sip.transaction",
                         "martenslip.sip.dialog", "martenslip.sip.message", "martenslip.wheel",
                         "martenslip.platform.desk", "martenslip.platform.json")
-                .and().haveNameNotMatching(".*\\.(Exchange|Crew|Planted|Post)(\\$.*)?")
+                .and().haveNameNotMatching(".*\\.(Exchange|Crew|Planted|EventLoop)(\\$.*)?")
                 .should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(all);
     }
--- a/src/test/java/martenslip/platform/CrossingTest.java
+++ b/src/test/java/martenslip/platform/CrossingTest.java
@@ -38,7 +38,7 @@
         String list = event(1, true, line("s-0", machines.get(0).port(), 0, "up"),
                 line("s-1", machines.get(1).port(), 1, "up"));
         feed.tell(list);
-        serve = new Serve(StandIn.written(StandIn.placement(feed.port(), list)), Logic::new,
+        serve = new Serve(StandIn.written(StandIn.configuration(feed.port(), list)), Logic::new,
                 new PrintStream(OutputStream.nullOutputStream()), sockets);
         serve.open();
     }
@@ -130,7 +130,7 @@
         nextStartIs(LAST);
     }
 
-    /** A writer that is held takes the time that its caller gave: what is left says so, and at its end nothing goes out. */
+    /** A writer that is held takes the time that its caller gave: what is left says so, and at its end there is none. */
     @Test
     public void whatIsLeftIsTrueWhenItIsWritten() throws Exception {
         StandIn.ready(world, serve);
@@ -209,7 +209,7 @@
         assertTrue(line.next().startsWith("SIP/2.0 200 "));
     }
 
-    /** A connection that stays open and says nothing while the other of the same switch speaks costs its own contact only. */
+    /** A connection that stays open and says nothing while another of the same switch speaks costs its own contact. */
     @Test
     public void aConnectionThatSaysNothingCostsWhatWentByIt() throws Exception {
         Line line = StandIn.ready(world, serve);
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -40,7 +40,7 @@
         world = new StandIn();
         machines = world.machines(3);
         feed = world.new Feed();
-        file = StandIn.written(StandIn.placement(feed.port(), list("up")));
+        file = StandIn.written(StandIn.configuration(feed.port(), list("up")));
         feed.tell(list("up"));
         serve = new Serve(file, Logic::new, SILENT);
         serve.open();
@@ -207,13 +207,13 @@
         ready();
         assertEquals(feed.asked(), 1);
         StandIn.Feed moved = world.new Feed();
-        Files.writeString(file, StandIn.placement(moved.port(), list("up")));
+        Files.writeString(file, StandIn.configuration(moved.port(), list("up")));
         serve.reload();
         assertEquals(moved.asked(), 1);
     }
 
     private void moveTo(StandIn.Feed to) throws IOException {
-        Files.writeString(file, StandIn.placement(to.port(), list("up")));
+        Files.writeString(file, StandIn.configuration(to.port(), list("up")));
         serve.reload();
     }
 
@@ -291,7 +291,7 @@
     }
 
     @Test
-    public void aBrokenPlacementAtAReloadChangesNothing() throws Exception {
+    public void aBrokenConfigurationAtAReloadChangesNothing() throws Exception {
         Line line = ready();
         Files.writeString(file, "{\"name\":");
         serve.reload();
@@ -299,8 +299,8 @@
     }
 
     @DataProvider
-    public Object[][] placements() {
-        String good = StandIn.placement(1, event(1, true));
+    public Object[][] configurations() {
+        String good = StandIn.configuration(1, event(1, true));
         return new Object[][] {
             {"{", "end-of-input"}, {"[]", "no object"}, {good.replace("\"seed\"", "\"sead\""), "seed is missing"},
             {good.replace("00000000000000aa", "x"), "seed is no number"},
@@ -312,8 +312,8 @@
         };
     }
 
-    @Test(dataProvider = "placements")
-    public void aPlacementThatIsNoneSaysWhereAndWhy(String text, String expected) throws IOException {
+    @Test(dataProvider = "configurations")
+    public void aConfigurationThatIsNoneSaysWhereAndWhy(String text, String expected) throws IOException {
         Path bad = StandIn.written(text);
         try (Serve never = new Serve(bad, Logic::new, SILENT)) {
             throw new AssertionError("it was taken: " + never);
@@ -416,7 +416,7 @@
     }
 
     @Test
-    public void aPlacementThatIsNotThereIsTold() {
+    public void aConfigurationThatIsNotThereIsTold() {
         assertThrows(IOException.class, () -> new Serve(Path.of("/nowhere/at/all.json"), Logic::new, SILENT));
     }
 }
--- a/src/test/java/martenslip/platform/StandIn.java
+++ b/src/test/java/martenslip/platform/StandIn.java
@@ -197,7 +197,7 @@
                 + "\"std\",\"cell\":" + number + ",\"lifecycle\":\"" + state + "\",\"weight\":1,\"startedAtMs\":0}";
     }
 
-    static String placement(int journal, String... events) {
+    static String configuration(int journal, String... events) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"00000000000000aa\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":64},\"journal\":\"127.0.0.1:" + journal + "\",\"known\":{\"pos\":"
                 + events.length + ",\"entries\":[" + String.join(",", events) + "]},\"settings\":{\"classes\":[{\"name\":"
@@ -210,10 +210,10 @@
                 + "\"report\":{\"fields\":[\"spare\",\"total\",\"allowed\"]},\"round-ns\":5000000}}";
     }
 
-    static Path written(String placement) throws IOException {
-        Path file = Files.createTempFile("placement", ".json");
+    static Path written(String configuration) throws IOException {
+        Path file = Files.createTempFile("configuration", ".json");
         file.toFile().deleteOnExit();
-        Files.writeString(file, placement);
+        Files.writeString(file, configuration);
         return file;
     }
 
--- a/src/test/java/martenslip/platform/switchline/LoadTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/LoadTest.java
@@ -1,4 +1,4 @@
-package martenslip.platform.switchline;
+package martenslip.platform.switchconnection;
 
 import static org.testng.Assert.assertEquals;
 
