--- a/src/main/java/martenslip/platform/Configuration.java
+++ b/src/main/java/martenslip/platform/Configuration.java
@@ -37,7 +37,7 @@
         List<ListEvent> known = new ArrayList<>();
         long position = 0;
         if (all.get("known") instanceof Map<?, ?> map) {
-            position = (long) Json.figure(map.get("pos"), "known.pos");
+            position = (long) within(map.get("pos"), "known.pos", 0, Long.MAX_VALUE);
             if (map.get("entries") instanceof List<?> entries) {
                 for (Object entry : entries) {
                     known.add(ListEvent.of(entry));
@@ -45,12 +45,22 @@
             }
         }
         Map<?, ?> limits = map(all.get("limits"), "limits");
+        Map<String, String> settings = Flat.of(map(all.get("settings"), "settings"));
+        Settings.check(settings);
         return new Configuration(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
-                seed(text(all.get("seed"), "seed")), (int) Json.figure(limits.get("sockets"), "limits.sockets"),
+                seed(text(all.get("seed"), "seed")), (int) within(limits.get("sockets"), "limits.sockets", 1, Integer.MAX_VALUE),
                 limits.toString(),
                 optional(all.get("peer_listen"), "peer_listen"), List.copyOf(peers),
                 optional(all.get("peers_all"), "peers_all"), Addresses.of(all.get("journal"), "journal"), position,
-                List.copyOf(known), Flat.of(map(all.get("settings"), "settings")));
+                List.copyOf(known), settings);
+    }
+
+    private static double within(Object value, String where, double least, double most) throws IOException {
+        double figure = Json.figure(value, where);
+        if (!(figure >= least && figure <= most)) {
+            throw new IOException(where + " is out of its range, " + least + " to " + most + ": " + value);
+        }
+        return figure;
     }
 
     private static InetSocketAddress optional(Object value, String where) throws IOException {
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -243,34 +243,25 @@
         loop.put(what, () -> drops.count("waited for the deciding thread"));
     }
 
-    private static Terms terms(Map<String, String> settings) throws IOException {
+    private static Terms terms(Map<String, String> settings) {
         int count = (int) number(settings, "classes.count", 0);
-        if (count < 1) {
-            throw new IOException("settings.classes is missing or empty");
-        }
         String[] names = new String[count];
         Span longest = Span.ZERO;
         for (int i = 0; i < count; i++) {
             names[i] = settings.get("classes." + i + ".name");
-            if (names[i] == null) {
-                throw new IOException("settings.classes[" + i + "].name is missing");
-            }
             longest = longest.least(span(settings, "classes." + i + ".hard-limit-ns", 9e9));
         }
         return new Terms(List.of(names), (int) number(settings, "policy-limits.max-open", 20_000), longest,
                 span(settings, "guarantees.answer-slack-ns", 20e6).plus(ON_SOCKETS));
     }
 
-    private static double number(Map<String, String> settings, String name, double otherwise) throws IOException {
+    /** They were looked through when the file was read. */
+    private static double number(Map<String, String> settings, String name, double otherwise) {
         String text = settings.get(name);
-        try {
-            return text == null ? otherwise : Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            throw new IOException("settings." + name + " is no number: " + text);
-        }
+        return text == null || text.isBlank() ? otherwise : Double.parseDouble(text);
     }
 
-    private static Span span(Map<String, String> settings, String name, double otherwise) throws IOException {
+    private static Span span(Map<String, String> settings, String name, double otherwise) {
         return new Span((long) number(settings, name, otherwise));
     }
 
