--- a/src/main/java/martenslip/cli/Main.java
+++ b/src/main/java/martenslip/cli/Main.java
@@ -4,12 +4,11 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import martenslip.Logic;
 import martenslip.drill.Drill;
 import martenslip.drill.MalformedWire;
 import martenslip.platform.Rehearsal;
+import martenslip.platform.Reloads;
 import martenslip.platform.Serve;
 import sun.misc.Signal;
 
@@ -33,13 +32,8 @@
 
     /** The signals are taken first of all: a SIGHUP that comes early would end the process. */
     private static void serve() {
-        AtomicReference<Serve> serving = new AtomicReference<>();
-        AtomicBoolean asked = new AtomicBoolean();
-        Signal.handle(new Signal("HUP"), any -> {
-            // Marked first: one that comes while the file is read for the start is looked at once that is done.
-            asked.set(true);
-            reload(serving, asked);
-        });
+        Reloads reloads = new Reloads();
+        Signal.handle(new Signal("HUP"), any -> reloads.ask());
         try {
             Path configured = Serve.configured();
             Serve serve;
@@ -52,8 +46,7 @@
             }
             Signal.handle(new Signal("TERM"), any -> serve.term());
             serve.open();
-            serving.set(serve);
-            reload(serving, asked);
+            reloads.begin(serve::reload);
             serve.await();
             System.exit(0);
         } catch (IOException e) {
@@ -64,12 +57,6 @@
         }
     }
 
-    private static void reload(AtomicReference<Serve> serving, AtomicBoolean asked) {
-        if (serving.get() != null && asked.getAndSet(false)) {
-            serving.get().reload();
-        }
-    }
-
     /** For the build: the JVM keeps an archive of what this loads. */
     private static void rehearse() {
         try {
