A refusal is no sign of life: the change to a draining switch's silence is taken back

With each refusal taken for a sign of life the silence of such a switch never counted.

So a draining switch that is silent and refuses may hold what stands, or may have nothing any more, and a node can't tell which.

--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -390,12 +390,7 @@
         heard.log("switch " + far.id + " at " + far.at + (connection.everUp() ? ": " : ", never up: ") + why);
         if (!connection.everUp()) {
             far.failed = true;
-            if (connection.refused() && far.links.stream().anyMatch(other -> other.up)) {
-                // Its machine answers, and the process there keeps what it holds: it takes no more, as one that drains.
-                far.pulse.heard(wheel.now());
-            } else {
-                far.pulse.neverUp(wheel.now());
-            }
+            far.pulse.neverUp(wheel.now());
         }
         heard.connectionOver(far.id, connection.number(), connection.everUp());
         if (connection.refused() && far.listed && !far.drains && far.links.stream().noneMatch(other -> other.up)) {
