--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -422,20 +422,29 @@
         return Path.of(file);
     }
 
-    /** For checks: looks until it holds, each time on the deciding thread, so that what is queued comes first. */
+    /**
+     * For checks: looks until it holds, each time on the deciding thread, and once more has everything that was queued
+     * before it held go first: a position is known as soon as its event is queued, not when it is decided about.
+     */
     void awaits(BooleanSupplier held) throws InterruptedException {
-        AtomicBoolean holds = new AtomicBoolean();
-        for (long begun = System.nanoTime(); !holds.get(); ) {
-            CountDownLatch looked = new CountDownLatch(1);
-            turn(() -> {
-                holds.set(held.getAsBoolean());
-                looked.countDown();
-            });
-            looked.await();
+        long begun = System.nanoTime();
+        while (!looked(held)) {
             if (System.nanoTime() - begun > 10_000_000_000L) {
                 throw new IllegalStateException("it never held");
             }
         }
+        looked(() -> true);
+    }
+
+    private boolean looked(BooleanSupplier held) throws InterruptedException {
+        AtomicBoolean holds = new AtomicBoolean();
+        CountDownLatch looked = new CountDownLatch(1);
+        turn(() -> {
+            holds.set(held.getAsBoolean());
+            looked.countDown();
+        });
+        looked.await();
+        return holds.get();
     }
 
     /** For checks; the deciding thread's. */
