--- a/src/main/java/martenslip/platform/Configuration.java
+++ b/src/main/java/martenslip/platform/Configuration.java
@@ -48,19 +48,15 @@
         Map<String, String> settings = Flat.of(map(all.get("settings"), "settings"));
         Settings.check(settings);
         return new Configuration(text(all.get("name"), "name"), Addresses.of(all.get("listen"), "listen"),
-                seed(text(all.get("seed"), "seed")), (int) within(limits.get("sockets"), "limits.sockets", 1, Integer.MAX_VALUE),
-                limits.toString(),
+                seed(text(all.get("seed"), "seed")),
+                (int) within(limits.get("sockets"), "limits.sockets", 1, Integer.MAX_VALUE), limits.toString(),
                 optional(all.get("peer_listen"), "peer_listen"), List.copyOf(peers),
                 optional(all.get("peers_all"), "peers_all"), Addresses.of(all.get("journal"), "journal"), position,
                 List.copyOf(known), settings);
     }
 
     private static double within(Object value, String where, double least, double most) throws IOException {
-        double figure = Json.figure(value, where);
-        if (!(figure >= least && figure <= most)) {
-            throw new IOException(where + " is out of its range, " + least + " to " + most + ": " + value);
-        }
-        return figure;
+        return Settings.within(Json.figure(value, where), where, value, least, most);
     }
 
     private static InetSocketAddress optional(Object value, String where) throws IOException {
--- a/src/main/java/martenslip/platform/Serve.java
+++ b/src/main/java/martenslip/platform/Serve.java
@@ -9,8 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import martenslip.control.Maker;
 import martenslip.control.Moment;
@@ -102,7 +100,7 @@
                 System.currentTimeMillis(), log);
         journal = new Journal(start.journal(), start.position(), fromJournal);
         boolean notes = "true".equals(settings.get("policy-limits.peers")) && start.peerListen() != null;
-        int own = (int) Double.parseDouble(settings.getOrDefault("me", "-1"));
+        int own = (int) number(settings, "me", -1);
         peers = notes ? new Peers(start.peerListen(), start.peers(), start.peersAll(), own, drops,
                 (peer, note) -> loop.offer((Runnable) () -> desk.tell(to -> to.peerNote(wheel.now(), peer, note))))
                 : null;
@@ -422,31 +420,6 @@
         return Path.of(file);
     }
 
-    /**
-     * For checks: looks until it holds, each time on the deciding thread, and once more has everything that was queued
-     * before it held go first: a position is known as soon as its event is queued, not when it is decided about.
-     */
-    void awaits(BooleanSupplier held) throws InterruptedException {
-        long begun = System.nanoTime();
-        while (!looked(held)) {
-            if (System.nanoTime() - begun > 10_000_000_000L) {
-                throw new IllegalStateException("it never held");
-            }
-        }
-        looked(() -> true);
-    }
-
-    private boolean looked(BooleanSupplier held) throws InterruptedException {
-        AtomicBoolean holds = new AtomicBoolean();
-        CountDownLatch looked = new CountDownLatch(1);
-        turn(() -> {
-            holds.set(held.getAsBoolean());
-            looked.countDown();
-        });
-        looked.await();
-        return holds.get();
-    }
-
     /** For checks; the deciding thread's. */
     int openSetUps() {
         return desk.open();
--- a/src/main/java/martenslip/platform/Settings.java
+++ b/src/main/java/martenslip/platform/Settings.java
@@ -5,29 +5,29 @@
 import java.util.Map;
 
 /**
- * Looks through the settings that this program and its module read, before anything of them is used: a number is one and
- * in its range, a switch is true or false. What is absent takes its default, as the operators' page says; what is there
- * and wrong stops the start, by name. Nothing here belongs to one deployment.
+ * Looks through the settings that this program and its module read, before anything of them is used: a number is one
+ * and in its range, a switch is true or false. What is absent takes its default, as the operators' page says; what is
+ * there and wrong stops the start, by name. Nothing here belongs to one deployment.
  */
 final class Settings {
     /** A century: no span of a call, a connection or a start is longer. */
     private static final double LONGEST_NS = 3.2e18;
     private static final double MOST = 1e9;
 
-    private record Number(String path, double least, double most) { }
+    private record Bound(String path, double least, double most) { }
 
-    private static final List<Number> NUMBERS = List.of(new Number("round-ns", 1, LONGEST_NS), new Number("me", -1, MOST),
-            new Number("n-instances", 0, MOST), new Number("family-info.mean-hold-ns", 0, LONGEST_NS),
-            new Number("family-info.widths", 0, MOST), new Number("family-info.home-no", -1, MOST),
-            new Number("family-info.release-ns", 0, LONGEST_NS), new Number("guarantees.warm-within-ns", 0, LONGEST_NS),
-            new Number("guarantees.cold-share", 0, 1), new Number("guarantees.fall-multiple", 0, MOST),
-            new Number("guarantees.fall-ns", 0, LONGEST_NS), new Number("guarantees.drain-grace-ns", 0, LONGEST_NS),
-            new Number("guarantees.answer-slack-ns", 0, LONGEST_NS), new Number("policy-limits.send-cap", 0, MOST),
-            new Number("policy-limits.max-open", 0, MOST), new Number("policy-limits.max-retry-after-ns", 0, LONGEST_NS),
-            new Number("policy-limits.connect-timeout-ns", 0, LONGEST_NS),
-            new Number("policy-limits.conn-idle-ns", 0, LONGEST_NS));
-    private static final List<Number> OF_A_CLASS = List.of(new Number("aim-ns", 0, LONGEST_NS),
-            new Number("hard-limit-ns", 0, LONGEST_NS), new Number("worth", 0, 1e12));
+    private static final List<Bound> NUMBERS = List.of(new Bound("round-ns", 1, LONGEST_NS), new Bound("me", -1, MOST),
+            new Bound("n-instances", 0, MOST), new Bound("family-info.mean-hold-ns", 0, LONGEST_NS),
+            new Bound("family-info.widths", 0, MOST), new Bound("family-info.home-no", -1, MOST),
+            new Bound("family-info.release-ns", 0, LONGEST_NS), new Bound("guarantees.warm-within-ns", 0, LONGEST_NS),
+            new Bound("guarantees.cold-share", 0, 1), new Bound("guarantees.fall-multiple", 0, MOST),
+            new Bound("guarantees.fall-ns", 0, LONGEST_NS), new Bound("guarantees.drain-grace-ns", 0, LONGEST_NS),
+            new Bound("guarantees.answer-slack-ns", 0, LONGEST_NS), new Bound("policy-limits.send-cap", 0, MOST),
+            new Bound("policy-limits.max-open", 0, MOST), new Bound("policy-limits.max-retry-after-ns", 0, LONGEST_NS),
+            new Bound("policy-limits.connect-timeout-ns", 0, LONGEST_NS),
+            new Bound("policy-limits.conn-idle-ns", 0, LONGEST_NS));
+    private static final List<Bound> OF_A_CLASS = List.of(new Bound("aim-ns", 0, LONGEST_NS),
+            new Bound("hard-limit-ns", 0, LONGEST_NS), new Bound("worth", 0, 1e12));
     private static final List<String> SWITCHES = List.of("cancel", "peers", "probes", "retry-after");
 
     private Settings() {
@@ -35,7 +35,7 @@
 
     /** Throws where one is wrong; the text names its path and the reason. */
     static void check(Map<String, String> settings) throws IOException {
-        number(settings, new Number("classes.count", 1, 1024));
+        number(settings, new Bound("classes.count", 1, 1024));
         String count = settings.get("classes.count");
         if (count == null) {
             throw new IOException("settings.classes is missing or empty");
@@ -45,11 +45,11 @@
             if (settings.getOrDefault(at + "name", "").isBlank()) {
                 throw new IOException("settings.classes[" + i + "].name is missing");
             }
-            for (Number one : OF_A_CLASS) {
-                number(settings, new Number(at + one.path, one.least, one.most));
+            for (Bound one : OF_A_CLASS) {
+                number(settings, new Bound(at + one.path, one.least, one.most));
             }
         }
-        for (Number one : NUMBERS) {
+        for (Bound one : NUMBERS) {
             number(settings, one);
         }
         for (String name : SWITCHES) {
@@ -61,7 +61,7 @@
     }
 
     /** A list is one number after another; an empty one is none. */
-    private static void number(Map<String, String> settings, Number number) throws IOException {
+    private static void number(Map<String, String> settings, Bound number) throws IOException {
         if (settings.keySet().stream().anyMatch(name -> name.startsWith(number.path + "."))) {
             throw new IOException("settings." + number.path + " is no number");
         }
@@ -76,11 +76,16 @@
             } catch (NumberFormatException e) {
                 throw new IOException("settings." + number.path + " is no number: " + text);
             }
-            // No number at all is in no range.
-            if (!(value >= number.least && value <= number.most)) {
-                throw new IOException("settings." + number.path + " is out of its range, " + number.least + " to "
-                        + number.most + ": " + text);
-            }
+            within(value, "settings." + number.path, text, number.least, number.most);
+        }
+    }
+
+    /** The value where it is in its range; else the message names its place and the text as it stands. */
+    static double within(double value, String where, Object text, double least, double most) throws IOException {
+        // No number at all is in no range.
+        if (!(value >= least && value <= most)) {
+            throw new IOException(where + " is out of its range, " + least + " to " + most + ": " + text);
         }
+        return value;
     }
 }
--- a/src/main/java/martenslip/platform/desk/Desk.java
+++ b/src/main/java/martenslip/platform/desk/Desk.java
@@ -197,7 +197,7 @@
         out.toCaller(line, open || stands ? Replies.plain(bye, 200, "OK")
                 : Replies.plain(bye, 481, "Call/Transaction Does Not Exist"));
         if (stands) {
-            standing.releasedByCaller(bye.callId());
+            standing.releasedByCaller(early);
         } else if (open) {
             // RFC 3261 15.1.2: what is pending is still answered.
             leaves(early);
--- a/src/main/java/martenslip/platform/desk/Standing.java
+++ b/src/main/java/martenslip/platform/desk/Standing.java
@@ -53,14 +53,9 @@
         }
     }
 
-    /** False where it does not stand. */
-    boolean releasedByCaller(String tag) {
-        Taken one = all.get(tag);
-        if (one != null) {
-            finish(one);
-            over(one, Cause.CALLED_OFF, NO_REPORT);
-        }
-        return one != null;
+    void releasedByCaller(Taken one) {
+        finish(one);
+        over(one, Cause.CALLED_OFF, NO_REPORT);
     }
 
     void releasedBySwitch(Taken one, int cause, float[] report) {
--- a/src/main/java/martenslip/platform/journal/Feed.java
+++ b/src/main/java/martenslip/platform/journal/Feed.java
@@ -15,8 +15,8 @@
  * comment each second. What breaks, falls silent or can't be read is asked for again at once, then with growing pauses.
  *
  * <p>It is ended by a mark, never by an interrupt: an interrupt does not wake a read of a socket, and one that comes
- * late hits whatever is waited for next. A feed that was ended says nothing further and notices it at its next line,
- * or when it has been silent for too long.
+ * late hits whatever is waited for next. A feed that is no longer heard notices it at its next line, or when it has
+ * been silent for too long.
  */
 final class Feed {
     private static final int STACK = 256 * 1024;
@@ -37,13 +37,12 @@
 
         void event(Feed by, ListEvent event) throws InterruptedException;
 
-        void broken(Feed by, String why);
+        void broken(String why);
     }
 
     final InetSocketAddress at;
     private final Tells tells;
     private boolean ended;
-    private boolean last;
 
     Feed(InetSocketAddress at, Tells tells) {
         this.at = at;
@@ -56,21 +55,12 @@
         thread.start();
     }
 
+    /** Not asked for again once it breaks. Whether it is heard until then is settled by {@link Tells#talks}. */
     synchronized void end() {
         ended = true;
         notifyAll();
     }
 
-    /** Goes on as long as it talks, and is not asked for again once it breaks. */
-    synchronized void last() {
-        last = true;
-        notifyAll();
-    }
-
-    private synchronized boolean over() {
-        return ended || last;
-    }
-
     private void work() {
         Span pause = Span.ZERO;
         do {
@@ -78,9 +68,9 @@
             boolean talked = false;
             try {
                 talked = read();
-                tells.broken(this, "ended");
+                tells.broken("ended");
             } catch (IOException | RuntimeException e) {
-                tells.broken(this, String.valueOf(e.getMessage()));
+                tells.broken(String.valueOf(e.getMessage()));
             } catch (InterruptedException e) {
                 return;
             }
@@ -92,13 +82,13 @@
     private synchronized boolean goesOnAfter(long ms) {
         long until = System.nanoTime() + ms * 1_000_000;
         try {
-            for (long left = ms; left > 0 && !over(); left = (until - System.nanoTime()) / 1_000_000) {
+            for (long left = ms; left > 0 && !ended; left = (until - System.nanoTime()) / 1_000_000) {
                 wait(left);
             }
         } catch (InterruptedException e) {
             return false;
         }
-        return !over();
+        return !ended;
     }
 
     /** True where anything at all was said. */
--- a/src/main/java/martenslip/platform/journal/Journal.java
+++ b/src/main/java/martenslip/platform/journal/Journal.java
@@ -7,8 +7,8 @@
  * service moves, the feed that talked last goes on until the new one talks, so a list is never without one for longer
  * than it must be; an event that was cut off, or came before, is none.
  *
- * <p>One lock guards what feeds there are, and which of them tells. An event is handed on under it: two feeds that tell the
- * same one meet here, and a feed that was ended a moment ago tells nothing after.
+ * <p>One lock guards what feeds there are, and which of them is heard. An event is handed on under it: two feeds that
+ * tell the same one meet here, and one that is no longer heard tells nothing after.
  */
 public final class Journal implements AutoCloseable {
     /** Takes events in the order of their numbers; called by a feed's thread. */
@@ -45,12 +45,10 @@
         if (closing || to.equals(newest.at)) {
             return;
         }
+        newest.end();
         if (newestTalked) {
-            // Its address takes nobody any more, so it is not asked again: what it has still to tell is welcome.
-            newest.last();
+            // Its address takes nobody any more: what it has still to tell is welcome.
             before = newest;
-        } else {
-            newest.end();
         }
         newest = new Feed(to, tells);
         newestTalked = false;
@@ -68,10 +66,7 @@
             synchronized (Journal.this) {
                 if (by == newest && !newestTalked) {
                     newestTalked = true;
-                    if (before != null) {
-                        before.end();
-                        before = null;
-                    }
+                    before = null;
                 }
                 return counts(by);
             }
@@ -89,7 +84,7 @@
         }
 
         @Override
-        public void broken(Feed by, String why) {
+        public void broken(String why) {
             heard.broken(why);
         }
     };
@@ -102,8 +97,5 @@
     public synchronized void close() {
         closing = true;
         newest.end();
-        if (before != null) {
-            before.end();
-        }
     }
 }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -262,7 +262,7 @@
         // The end of an earlier attempt must not be said again on a connection that comes up after this one.
         far.releases.remove(start.tag());
         for (boolean up : new boolean[] {true, false}) {
-            for (Link link : List.copyOf(far.links)) {
+            for (Link link : far.links) {
                 if (link.up == up && link.connection.send(message)) {
                     return new Queued(link.connection.number(), message);
                 }
--- a/src/test/java/martenslip/platform/CrossingTest.java
+++ b/src/test/java/martenslip/platform/CrossingTest.java
@@ -75,7 +75,7 @@
 
     /** Waits until the controller knows of no open set-up: then whatever ended it has been decided about. */
     private void nothingOpen() throws Exception {
-        serve.awaits(() -> serve.openSetUps() == 0);
+        StandIn.awaits(serve, () -> serve.openSetUps() == 0);
     }
 
     /** A set-up for another is the mark: by one connection, what was queued before it is read before it. */
@@ -89,18 +89,26 @@
         assertTrue(other.next().startsWith("SIP/2.0 200 "));
     }
 
-    @Test(dataProvider = "leaves")
-    public void nothingIsWrittenForACallerWhoLeftWhileTheWriterWasHeld(Leaves how) throws Exception {
-        Line line = StandIn.ready(world, serve);
+    /**
+     * Asks on this connection for a set-up that waits to be written. The writer is held by another's START, which has
+     * begun and so is an attempt like any other; the connection of its caller is returned.
+     */
+    private Line behindAHeldWriter(Line line) throws Exception {
         Line first = world.new Line(serve.listens());
         sockets.write.shut();
-        // This one's START has begun: it holds the writer, and is an attempt like any other.
         first.invite(OTHER, "dear", 3000, "m=audio");
         sockets.write.awaits(1);
         line.invite(TAG, "dear", 3000, "m=audio");
-        serve.awaits(() -> serve.openSetUps() == 2);
+        StandIn.awaits(serve, () -> serve.openSetUps() == 2);
+        return first;
+    }
+
+    @Test(dataProvider = "leaves")
+    public void nothingIsWrittenForACallerWhoLeftWhileTheWriterWasHeld(Leaves how) throws Exception {
+        Line line = StandIn.ready(world, serve);
+        Line first = behindAHeldWriter(line);
         leave(line, how);
-        serve.awaits(() -> serve.openSetUps() == 1);
+        StandIn.awaits(serve, () -> serve.openSetUps() == 1);
         sockets.write.open();
         Said begun = machines.get(1).next("START");
         assertEquals(begun.tag(), OTHER);
@@ -112,7 +120,7 @@
     @Test(dataProvider = "leaves")
     public void nothingIsWrittenForACallerWhoLeftBeforeTheConnectionCameUp(Leaves how) throws Exception {
         Line line = StandIn.ready(world, serve);
-        serve.awaits(() -> machines.get(1).links.size() == 2);
+        StandIn.awaits(serve, () -> machines.get(1).links.size() == 2);
         sockets.connect.shut();
         int before = sockets.made.get();
         for (java.net.Socket link : machines.get(1).links) {
@@ -120,9 +128,9 @@
         }
         // Its two connections are asked for anew, and stand before the gate.
         sockets.connect.awaits(1);
-        serve.awaits(() -> sockets.made.get() >= before + 2);
+        StandIn.awaits(serve, () -> sockets.made.get() >= before + 2);
         line.invite(TAG, "dear", 3000, "m=audio");
-        serve.awaits(() -> serve.openSetUps() == 1);
+        StandIn.awaits(serve, () -> serve.openSetUps() == 1);
         leave(line, how);
         nothingOpen();
         sockets.connect.open();
@@ -157,14 +165,9 @@
     @Test
     public void aSwitchThatDrainsMeanwhileGetsNothingNew() throws Exception {
         Line line = StandIn.ready(world, serve);
-        Line first = world.new Line(serve.listens());
-        sockets.write.shut();
-        first.invite(OTHER, "dear", 3000, "m=audio");
-        sockets.write.awaits(1);
-        line.invite(TAG, "dear", 3000, "m=audio");
-        serve.awaits(() -> serve.openSetUps() == 2);
+        Line first = behindAHeldWriter(line);
         feed.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
-        serve.awaits(() -> serve.position() == 2);
+        StandIn.awaits(serve, () -> serve.position() == 2);
         sockets.write.open();
         assertTrue(line.next().startsWith("SIP/2.0 503 "), "there is no other way to it");
         machines.get(1).next("START").started("m=audio 3");
@@ -174,7 +177,7 @@
 
     /** Waits until two connections to the switch are up on both sides. */
     private void linked(Machine machine, int links) throws Exception {
-        serve.awaits(() -> machine.links.size() >= links && serve.groupsTold());
+        StandIn.awaits(serve, () -> machine.links.size() >= links && serve.groupsTold());
     }
 
     /**
--- a/src/test/java/martenslip/platform/ServeTest.java
+++ b/src/test/java/martenslip/platform/ServeTest.java
@@ -196,7 +196,7 @@
                 line("s-7", machines.get(2).port(), 1, "up")));
         // Two connections to each switch: four once the new one at the same address is known. That it has told its state
         // is one thing more, and a busy machine may take it up later.
-        serve.awaits(() -> machines.get(2).links.size() >= 4 && serve.groupsTold());
+        StandIn.awaits(serve, () -> machines.get(2).links.size() >= 4 && serve.groupsTold());
         line.invite(TAG, "dear", 3000, BODY);
         machines.get(2).next("START").started("at the new one");
         assertTrue(line.next().endsWith("at the new one"));
@@ -226,12 +226,12 @@
         moveTo(moved);
         assertEquals(moved.asked(), 1);
         feed.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
-        serve.awaits(() -> serve.position() == 2);
+        StandIn.awaits(serve, () -> serve.position() == 2);
         moved.tell(list("up"));
         moved.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
         moved.tell(event(3, false, line("s-1", machines.get(1).port(), 1, "removed")));
         moved.silent = false;
-        serve.awaits(() -> serve.position() == 3);
+        StandIn.awaits(serve, () -> serve.position() == 3);
     }
 
     /** Reload, and at once a drain: what the new address tells counts, and it is the only one left. */
@@ -242,7 +242,7 @@
         moved.tell(list("up"));
         moved.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
         moveTo(moved);
-        serve.awaits(() -> serve.position() == 2);
+        StandIn.awaits(serve, () -> serve.position() == 2);
         line.invite(TAG, "dear", 3000, BODY);
         assertTrue(line.next().startsWith("SIP/2.0 503 "));
     }
@@ -257,13 +257,13 @@
         moved.tell(list("up"));
         moved.tell(event(2, false, line("s-1", machines.get(1).port(), 1, "draining")));
         moveTo(moved);
-        serve.awaits(() -> serve.position() == 2);
+        StandIn.awaits(serve, () -> serve.position() == 2);
         nowhere.tell(list("up"));
         nowhere.tell(list("up"));
         nowhere.tell(event(3, true));
         nowhere.silent = false;
         moved.tell(event(3, false, line("s-1", machines.get(1).port(), 1, "up")));
-        serve.awaits(() -> serve.position() == 3);
+        StandIn.awaits(serve, () -> serve.position() == 3);
         assertTrue(serve.groupsTold());
     }
 
--- a/src/test/java/martenslip/platform/StandIn.java
+++ b/src/test/java/martenslip/platform/StandIn.java
@@ -14,8 +14,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import martenslip.platform.json.Json;
 
 /** A small platform on loopback, written from the protocol's page: switches, a journal service, callers' lines. */
@@ -266,6 +269,31 @@
         }
     }
 
+    /**
+     * Looks until it holds, each time on the deciding thread, and once more has everything that was queued before it
+     * held go first: a position is known as soon as its event is queued, not when it is decided about.
+     */
+    static void awaits(Serve serve, BooleanSupplier held) throws InterruptedException {
+        long begun = System.nanoTime();
+        while (!looked(serve, held)) {
+            if (System.nanoTime() - begun > WAIT_S * 1_000_000_000L) {
+                throw new IllegalStateException("it never held");
+            }
+        }
+        looked(serve, () -> true);
+    }
+
+    private static boolean looked(Serve serve, BooleanSupplier held) throws InterruptedException {
+        AtomicBoolean holds = new AtomicBoolean();
+        CountDownLatch looked = new CountDownLatch(1);
+        serve.turn(() -> {
+            holds.set(held.getAsBoolean());
+            looked.countDown();
+        });
+        looked.await();
+        return holds.get();
+    }
+
     /** A caller's line on which a test has passed: only then are the states of the groups there. */
     static Line ready(StandIn world, Serve serve) throws IOException {
         Line line = world.new Line(serve.listens());
--- a/src/test/java/martenslip/platform/desk/DeskWorld.java
+++ b/src/test/java/martenslip/platform/desk/DeskWorld.java
@@ -24,7 +24,7 @@
  * The very desk and module between a caller and two switches that hold to the platform's protocol. It says what may
  * come next; the rules are judged by what crosses the wire.
  */
-final class DeskWorld implements EveryOrder.World, Outward {
+final class DeskWorld extends JudgedOutward implements EveryOrder.World {
     private static final Span PATIENCE = Span.ofMillis(1500);
     private static final Span SLACK = Span.ofMillis(50);
     private static final Span STEP = Span.ofMillis(60);
@@ -33,8 +33,6 @@
     record Plan(int offers, int circuits, int refusals, boolean cancels, boolean breaks, boolean dies) { }
 
     private final Plan plan;
-    private final Span release;
-    private final FiveRules rules;
     private final Wheel wheel = new Wheel(new Moment(0));
     private final Desk desk;
     /** By tag: the switch where the ring is out, or where the contact stands. */
@@ -49,9 +47,8 @@
 
     /** {@code release} is what the rules hold the program to; the module is told 300 ms. */
     DeskWorld(Plan plan, Span release) {
+        super(new FiveRules(Span.ofMillis(2000), release, Span.ofMillis(10_000)), "switch-over");
         this.plan = plan;
-        this.release = release;
-        rules = new FiveRules(Span.ofMillis(2000), release, Span.ofMillis(10_000));
         desk = new Desk(wheel, new Terms(List.of("cheap", "dear"), 100, Span.ofMillis(9000), Span.ofMillis(20)), this);
         Logic logic = new Logic(settings(), 7, wheel.now(), desk);
         desk.module(logic);
@@ -76,11 +73,6 @@
         return all;
     }
 
-    @Override
-    public FiveRules rules() {
-        return rules;
-    }
-
     @Override
     public List<Event> enabled() {
         List<Event> all = new ArrayList<>();
@@ -206,21 +198,6 @@
         return true;
     }
 
-    @Override
-    public long anyLine(long but) {
-        return 1;
-    }
-
-    @Override
-    public void settled(long line, String tag) {
-        // Nothing here counts what a line has open.
-    }
-
-    @Override
-    public void drop(long line, String why) {
-        rules.wrong("line", "dropped: " + why);
-    }
-
     @Override
     public Queued start(long target, Start start, Runnable unsent) {
         rules.ring(wheel.now(), "0", start.tag(), target);
@@ -238,21 +215,4 @@
         standing.remove(tag);
         written.run();
     }
-
-    @Override
-    public void finished(long target, long connection, String tag) {
-        // Free on the platform.
-    }
-
-    @Override
-    public void note(int peer, byte[] note) {
-        rules.wrong("note", "notes are not allowed here");
-    }
-
-    @Override
-    public void log(String kind, String line) {
-        if (!kind.equals("switch-over")) {
-            rules.wrong("log", kind + ": " + line);
-        }
-    }
 }
--- a/src/test/java/martenslip/platform/desk/QueueWorld.java
+++ b/src/test/java/martenslip/platform/desk/QueueWorld.java
@@ -28,7 +28,7 @@
  * wait: the inbox of the deciding thread, a connection that is not up, a writer that is held. Anything may come while
  * something waits. It judges by what is written to the switch and to callers, and when.
  */
-final class QueueWorld implements EveryOrder.World, Outward {
+final class QueueWorld extends JudgedOutward implements EveryOrder.World {
     /** A fault planted to see that the check finds it. */
     enum Plant { NONE, DEPARTED, DRAINED, END_NOT_WRITTEN, NOT_REVOKED }
 
@@ -44,7 +44,6 @@
 
     private final Plan plan;
     private final Plant plant;
-    private final FiveRules rules = new FiveRules(Span.ZERO, Span.ofMillis(300), Span.ofMillis(10_000));
     private final Wheel wheel = new Wheel(new Moment(0));
     private final Desk desk;
     private final ArrayDeque<Runnable> inbox = new ArrayDeque<>();
@@ -62,6 +61,7 @@
     private int offered;
 
     QueueWorld(Plan plan, Plant plant) {
+        super(new FiveRules(Span.ZERO, Span.ofMillis(300), Span.ofMillis(10_000)), "switch-over", "unsure");
         this.plan = plan;
         this.plant = plant;
         up = plan.up;
@@ -76,11 +76,6 @@
                 new SwitchLine(100, 0, SwitchLine.State.READY, null, 0), new SwitchLine(TARGET, 1, state, null, 0))));
     }
 
-    @Override
-    public FiveRules rules() {
-        return rules;
-    }
-
     @Override
     public List<Event> enabled() {
         List<Event> all = new ArrayList<>();
@@ -343,36 +338,4 @@
         }
         return true;
     }
-
-    @Override
-    public long anyLine(long but) {
-        return 1;
-    }
-
-    @Override
-    public void settled(long line, String tag) {
-        // Nothing here counts what a connection has open.
-    }
-
-    @Override
-    public void drop(long line, String why) {
-        rules.wrong("line", "dropped: " + why);
-    }
-
-    @Override
-    public void finished(long target, long connection, String tag) {
-        // Free on the platform.
-    }
-
-    @Override
-    public void note(int peer, byte[] note) {
-        rules.wrong("note", "notes are not allowed here");
-    }
-
-    @Override
-    public void log(String kind, String line) {
-        if (!kind.equals("switch-over") && !kind.equals("unsure")) {
-            rules.wrong("log", kind + ": " + line);
-        }
-    }
 }
