--- a/src/test/java/martenslip/platform/ControllerServiceTest.java
+++ b/src/test/java/martenslip/platform/ControllerServiceTest.java
@@ -451,6 +451,17 @@
         assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16") && bye.contains(CALL_ID), bye);
     }
 
+    /** The next connection opened is one that only checks whether the silent switch lives. */
+    @Test(timeOut = 30_000)
+    public void aReleaseOnALivenessProbesConnectionReachesTheCaller() throws Exception {
+        CallerConnection connection = connectReadyCaller();
+        establish(connection);
+        switches.get(1).owedLinesDelayMs = 20;
+        switches.get(1).oweRelease(CALL_ID, 16);
+        String bye = connection.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16") && bye.contains(CALL_ID), bye);
+    }
+
     @Test
     public void aContactAtAnUnknownSwitchIsReleased() throws Exception {
         CallerConnection connection = connectReadyCaller();
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -77,6 +77,10 @@
     final class SwitchStandIn {
         final LinkedBlockingQueue<ReceivedMessage> receivedMessages = new LinkedBlockingQueue<>();
         final List<Socket> connections = new CopyOnWriteArrayList<>();
+        /** Lines written on each further connection, after the load report and {@link #owedLinesDelayMs}. */
+        final List<String> owedLines = new CopyOnWriteArrayList<>();
+
+        volatile long owedLinesDelayMs;
         private final ServerSocket listener;
 
         SwitchStandIn(int port) throws IOException {
@@ -85,6 +89,7 @@
                 socket.getOutputStream()
                         .write("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n"
                                 .getBytes(StandardCharsets.UTF_8));
+                writeOwedLines(socket);
                 BufferedReader reader =
                         new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
                 for (String line = reader.readLine(); line != null; line = reader.readLine()) {
@@ -100,6 +105,23 @@
             });
         }
 
+        /** A release is sent on the next connection opened, as the protocol has it. */
+        void oweRelease(String tag, int q850Cause) {
+            owedLines.add("{\"verb\":\"FINISH\",\"tag\":\"" + tag + "\",\"opts\":{},\"rc\":" + q850Cause + "}\n");
+        }
+
+        private void writeOwedLines(Socket socket) throws IOException {
+            if (owedLines.isEmpty()) {
+                return;
+            }
+            try {
+                Thread.sleep(owedLinesDelayMs);
+            } catch (InterruptedException e) {
+                return;
+            }
+            socket.getOutputStream().write(String.join("", owedLines).getBytes(StandardCharsets.UTF_8));
+        }
+
         private static long remainingMs(java.util.Map<?, ?> message) {
             return message.get("opts") instanceof java.util.Map<?, ?> opts
                             && opts.get("left") instanceof String remainingMs
--- a/src/test/java/martenslip/platform/ProcessSignalsTest.java
+++ b/src/test/java/martenslip/platform/ProcessSignalsTest.java
@@ -25,6 +25,9 @@
 /** The program as the platform starts it, in a process of its own, under real signals. */
 public class ProcessSignalsTest {
     private static final String CALL_ID = "9b1f03aa5c7e2d41";
+    /** A release is due within 1 s, with 50 ms of slack (protocol page, the rules on sockets). */
+    private static final int MAX_RELEASE_MS = 1050;
+
     private PlatformStandIn platform;
     private List<SwitchStandIn> switches;
     private PlatformStandIn.JournalStandIn journal;
@@ -153,6 +156,47 @@
         assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16") && bye.contains(CALL_ID), bye);
     }
 
+    private CallerConnection establishThroughTheProcess() throws Exception {
+        awaitLogLine("ready");
+        CallerConnection connection = connectCaller().invite(CALL_ID, "dear", 3000, "m=audio");
+        switches.get(1).next("START").started("m=audio 1");
+        assertTrue(connection.next().startsWith("SIP/2.0 200 "));
+        connection.send(CallerConnection.message("ACK", CALL_ID, "", ""));
+        return connection;
+    }
+
+    private void killAndLaunch() throws Exception {
+        signal("KILL");
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        launch();
+        awaitLogLine("ready");
+    }
+
+    /** Guards against report 038161: a release read before its contact is named must not be lost. */
+    @Test(timeOut = 60_000)
+    public void aReleaseReadBeforeItsContactIsNamedReachesTheCaller() throws Exception {
+        establishThroughTheProcess();
+        switches.get(1).oweRelease(CALL_ID, 16);
+        killAndLaunch();
+        CallerConnection newConnection = connectCaller();
+        newConnection.socket.setSoTimeout(MAX_RELEASE_MS);
+        newConnection.send(CallerConnection.message("INVITE", CALL_ID, "Routing-Data: at:s-1\r\n", ""));
+        String bye = newConnection.next();
+        assertTrue(bye.startsWith("BYE ") && bye.contains("cause=16") && bye.contains(CALL_ID), bye);
+    }
+
+    /** A caller's BYE overtakes its own naming of the contact on another connection: the switch must hear of it. */
+    @Test(timeOut = 60_000)
+    public void aByeThatOvertakesTheNamingOfItsContactReachesTheSwitch() throws Exception {
+        establishThroughTheProcess();
+        killAndLaunch();
+        CallerConnection byeConnection = connectCaller();
+        byeConnection.send(CallerConnection.message("BYE", CALL_ID, "Reason: Q.850;cause=16\r\n", ""));
+        assertTrue(byeConnection.next().startsWith("SIP/2.0 "), "the BYE has been handled");
+        connectCaller().send(CallerConnection.message("INVITE", CALL_ID, "Routing-Data: at:s-1\r\n", ""));
+        assertEquals(switches.get(1).next("FINISH").tag(), CALL_ID);
+    }
+
     /**
      * A SIGTERM before the program has set its handler ends the process through the JVM's default; a later one shuts it
      * down in good order.
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -420,12 +420,12 @@
         assertEquals(contactTable.establishedCount(), 1);
     }
 
-    @Test
-    public void anInheritedContactIsReleasedWithoutNotifyingTheModule() {
-        SetUpRequest request = new SetUpRequest(
-                3,
-                request("INVITE", 4),
-                tag(4),
+    /** A set-up by which a caller names a contact that is established already. */
+    private static SetUpRequest namingRequest(long connectionId, int contactNumber) {
+        return new SetUpRequest(
+                connectionId,
+                request("INVITE", contactNumber),
+                tag(contactNumber),
                 "00000000000000aa",
                 0,
                 new Moment(0),
@@ -438,6 +438,49 @@
                 "s-1",
                 "",
                 new CallerCancellation());
+    }
+
+    /** Guards against report 038161: the end arrives before the contact is known. */
+    @Test
+    public void aReleaseThatPrecedesTheNamingIsPassedOnAtTheNaming() {
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(4), 16, null, NO_REPORT);
+        harness.advanceToMs(3000);
+        harness.takeSent();
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"));
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
+    @Test
+    public void aByeThatPrecedesTheNamingIsPassedOnAtTheNaming() {
+        contactTable.byeReceived(9, request("BYE", 4));
+        harness.advanceToMs(3000);
+        harness.takeSent();
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        assertEquals(harness.takeSent(), List.of("FINISH 7 0 4 16"));
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
+    /** A cut of 6 s: the release was sent often into a connection that is then reset, and the caller comes again. */
+    @Test
+    public void aReleaseThatNobodyAcknowledgedIsSentOnALaterConnection() {
+        establish();
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        for (int ms = 100; ms <= 6000; ms += 100) {
+            harness.advanceToMs(ms);
+        }
+        harness.closedConnections.add(1L);
+        harness.otherCallerConnection = 0;
+        contactTable.callerConnectionEnded(1);
+        harness.takeSent();
+        harness.otherCallerConnection = 6;
+        harness.advanceToMs(7000);
+        assertTrue(harness.takeSent().contains("6: BYE Q.850;cause=16"));
+    }
+
+    @Test
+    public void anInheritedContactIsReleasedWithoutNotifyingTheModule() {
+        SetUpRequest request = namingRequest(3, 4);
         contactTable.establishedContactReported(request, SWITCH_ID);
         contactTable.establishedContactReported(request, SWITCH_ID);
         assertEquals(contactTable.establishedCount(), 1);
