Keep a switch's release of an unknown contact until its caller names the contact

Cause: ContactTable.ended acknowledged a release of an unknown id and kept nothing; the naming that followed was believed. Log kinds early-release, named, end-given-up; counters early-releases, over-when-named, unclaimed-ends.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -244,7 +244,8 @@
                 "counts",
                 contactTable.counters() + " open=" + contactTable.openCount() + " standing="
                         + contactTable.establishedCount() + " unheard="
-                        + contactTable.unacknowledgedReleaseCount() + " lines=" + callerConnections.connectionCount()
+                        + contactTable.unacknowledgedReleaseCount() + " unclaimed-ends="
+                        + contactTable.unclaimedEndCount() + " lines=" + callerConnections.connectionCount()
                         + " switch-lines="
                         + switchConnections.connectionCount()
                         + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " drops="
--- a/src/main/java/martenslip/platform/contact/ContactCounters.java
+++ b/src/main/java/martenslip/platform/contact/ContactCounters.java
@@ -15,6 +15,11 @@
     long callerGone;
     long refusedWithoutOffer;
     long rings;
+    /** Releases by a switch of contacts that were not known. */
+    long earlyReleases;
+    /** Contacts that were over when a caller named them as established. */
+    long overWhenNamed;
+
     private final Map<String, Long> endsByCause = new TreeMap<>();
 
     /** Counts the end of a ring by its cause and, where there is one, the reason of its rejection. */
@@ -28,6 +33,7 @@
     public String toString() {
         return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " deferred=" + deferred
                 + " abandoned=" + abandoned + " caller-gone=" + callerGone + " refused-unseen=" + refusedWithoutOffer
-                + " rings=" + rings + " ends=" + endsByCause;
+                + " rings=" + rings + " ends=" + endsByCause
+                + " early-releases=" + earlyReleases + " over-when-named=" + overWhenNamed;
     }
 }
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -17,6 +17,7 @@
 import martenslip.control.RingEndCause;
 import martenslip.control.Span;
 import martenslip.eventloop.TimerWheel;
+import martenslip.platform.contact.EndedContacts.SettledEnd;
 import martenslip.sip.message.Request;
 import martenslip.sip.transport.QueuedMessage;
 import martenslip.tracking.AnswerDeadline;
@@ -40,6 +41,7 @@
     private final Map<Long, TrackedContact> inFlightById = new LinkedHashMap<>();
     private final EstablishedContacts establishedContacts;
     private final ReleaseSender releaseSender;
+    private final EndReconciliation endReconciliation;
     /** The size of each switch's trunk group, as last reported. */
     private final Map<Long, Integer> groupSizes = new HashMap<>();
 
@@ -56,6 +58,7 @@
         this.settings = settings;
         this.outbound = outbound;
         releaseSender = new ReleaseSender(wheel, outbound);
+        endReconciliation = new EndReconciliation(wheel, outbound, releaseSender, counters);
         establishedContacts = new EstablishedContacts(outbound, releaseSender, this::establishedContactEnded);
     }
 
@@ -91,6 +94,11 @@
         return releaseSender.pendingCount();
     }
 
+    /** The number of ends of contacts that no caller has named yet. */
+    public int unclaimedEndCount() {
+        return endReconciliation.unclaimedCount();
+    }
+
     /** Refuses every new set-up from now on; open contacts are still answered. */
     public void refuseNewContacts() {
         isRefusingNewContacts = true;
@@ -180,9 +188,10 @@
      */
     public void establishedContactReported(SetUpRequest request, long switchId) {
         outbound.contactAnswered(request.connectionId(), request.tag());
-        if (contactsByTag.containsKey(request.tag())) {
+        if (contactsByTag.containsKey(request.tag()) || endReconciliation.endIsSettledAtNaming(request, switchId)) {
             return;
         }
+        outbound.log("named", request.tag() + " at " + request.establishedSwitch() + " is taken over");
         TrackedContact contact = new TrackedContact(++lastContactId, request);
         contact.isOpen = false;
         contact.isAcknowledged = true;
@@ -311,7 +320,11 @@
     public void ended(long switchId, long switchConnectionId, String tag, int q850Cause, String note, float[] report) {
         outbound.sendFinished(switchId, switchConnectionId, tag);
         TrackedContact contact = contactsByTag.get(tag);
-        if (contact == null || !isAwaitingAnswerFrom(contact, switchId)) {
+        if (contact == null) {
+            endReconciliation.releaseReceivedForUnknownContact(switchId, switchConnectionId, tag, q850Cause);
+            return;
+        }
+        if (!isAwaitingAnswerFrom(contact, switchId)) {
             return;
         }
         if (contact.attempt.isCancelled && !contact.isEstablished) {
@@ -403,12 +416,23 @@
         openContactsById.remove(contact.id);
         outbound.contactAnswered(contact.callerConnectionId, contact.tag);
         if (contact.attempt == null) {
-            contactsByTag.remove(contact.tag);
+            forgetUnanswered(contact);
+        }
+    }
+
+    /** A contact that no switch has answered leaves the table. */
+    private void forgetUnanswered(TrackedContact contact) {
+        contactsByTag.remove(contact.tag);
+        if (contact.attemptCount > 0) {
+            endReconciliation.contactSettled(contact.tag, new SettledEnd(false, EndCause.TEMPORARY_FAILURE));
         }
     }
 
     private void establishedContactEnded(TrackedContact contact, RingEndCause cause, float[] report) {
         contactsByTag.remove(contact.tag);
+        boolean isNormalEnd = cause == RingEndCause.CONCLUDED || cause == RingEndCause.CALLED_OFF;
+        endReconciliation.contactSettled(
+                contact.tag, new SettledEnd(true, isNormalEnd ? EndCause.NORMAL_CLEARING : EndCause.TEMPORARY_FAILURE));
         TrackedContact.Attempt attempt = contact.attempt;
         if (attempt.ringNumber < 0) {
             // The module does not know this inherited contact, but the load report is valid.
@@ -458,7 +482,7 @@
         inFlightById.remove(contact.id);
         contact.attempt = null;
         if (!contact.isOpen) {
-            contactsByTag.remove(contact.tag);
+            forgetUnanswered(contact);
         }
         counters.countRingEnd(cause, rejectionReason);
         Span elapsed = wheel.now().since(attempt.startedAt);
--- a/src/main/java/martenslip/platform/contact/EndCause.java
+++ b/src/main/java/martenslip/platform/contact/EndCause.java
@@ -29,6 +29,11 @@
         return q850Cause == NORMAL_CLEARING ? RingEndCause.CONCLUDED : RingEndCause.CUT;
     }
 
+    /** The cause to send a caller for a switch's release: every cause but normal clearing is a temporary failure. */
+    static int toCaller(int q850Cause) {
+        return q850Cause == NORMAL_CLEARING ? NORMAL_CLEARING : TEMPORARY_FAILURE;
+    }
+
     private static RejectionReason rejectionReason(String note) {
         return switch (note == null ? "" : note) {
             case "no_circuit" -> RejectionReason.NO_CIRCUIT;
--- /dev/null
+++ b/src/main/java/martenslip/platform/contact/EndReconciliation.java
@@ -0,0 +1,80 @@
+package martenslip.platform.contact;
+
+import martenslip.control.Moment;
+import martenslip.eventloop.TimerWheel;
+import martenslip.platform.contact.EndedContacts.EarlyRelease;
+import martenslip.platform.contact.EndedContacts.SettledEnd;
+
+/**
+ * Matches the ends of contacts with the callers that name them, in whichever order the two arrive, and tells the side
+ * that does not know of the end yet. Belongs to the decision thread.
+ */
+final class EndReconciliation {
+    private final TimerWheel wheel;
+    private final OutboundMessages outbound;
+    private final ReleaseSender releaseSender;
+    private final ContactCounters counters;
+    private final EndedContacts endedContacts = new EndedContacts(this::endGivenUp);
+
+    EndReconciliation(
+            TimerWheel wheel, OutboundMessages outbound, ReleaseSender releaseSender, ContactCounters counters) {
+        this.wheel = wheel;
+        this.outbound = outbound;
+        this.releaseSender = releaseSender;
+        this.counters = counters;
+    }
+
+    /** The number of ends that wait for a caller to name their contact. */
+    int unclaimedCount() {
+        return endedContacts.unclaimedCount();
+    }
+
+    /** A contact that was known here has ended. */
+    void contactSettled(String tag, SettledEnd end) {
+        endedContacts.settled(tag, end, wheel.now());
+    }
+
+    /** Keeps a switch's release of a contact that is not known here, unless the contact has ended here before. */
+    void releaseReceivedForUnknownContact(long switchId, long switchConnectionId, String tag, int q850Cause) {
+        Moment now = wheel.now();
+        if (endedContacts.settledEnd(tag, now) != null) {
+            return;
+        }
+        counters.earlyReleases++;
+        outbound.log(
+                "early-release",
+                tag + " is not known; released by switch " + switchId + " on connection " + switchConnectionId
+                        + " with cause " + q850Cause + "; kept until its caller names it");
+        endedContacts.releasedBySwitch(tag, new EarlyRelease(switchId, switchConnectionId, q850Cause), now);
+    }
+
+    /**
+     * Tells the caller or the switch if the contact that this caller names as established has ended already; returns
+     * false if it has not.
+     */
+    boolean endIsSettledAtNaming(SetUpRequest naming, long switchId) {
+        Moment now = wheel.now();
+        String tag = naming.tag();
+        EarlyRelease release = endedContacts.claimRelease(tag, now);
+        if (release != null && release.switchId() == switchId) {
+            return tellCaller(naming, EndCause.toCaller(release.q850Cause()), "released by its switch before");
+        }
+        SettledEnd end = endedContacts.settledEnd(tag, now);
+        if (end != null && end.wasEstablished()) {
+            return tellCaller(naming, end.q850Cause(), "ended here before");
+        }
+        return false;
+    }
+
+    private boolean tellCaller(SetUpRequest naming, int q850Cause, String reason) {
+        counters.overWhenNamed++;
+        outbound.log("named", naming.tag() + " at " + naming.establishedSwitch() + " is over: " + reason);
+        releaseSender.release(naming.tag(), naming.calledNumber(), q850Cause, naming.connectionId());
+        contactSettled(naming.tag(), new SettledEnd(true, q850Cause));
+        return true;
+    }
+
+    private void endGivenUp(String tag, Record end) {
+        outbound.log("end-given-up", tag + ": nobody has named it; " + end);
+    }
+}
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -64,8 +64,7 @@
 
     /** Ends a contact by its switch's FINISH; every cause but normal clearing is sent on as a temporary failure. */
     void releasedBySwitch(TrackedContact contact, int q850Cause, float[] report) {
-        sendRelease(
-                contact, q850Cause == EndCause.NORMAL_CLEARING ? EndCause.NORMAL_CLEARING : EndCause.TEMPORARY_FAILURE);
+        sendRelease(contact, EndCause.toCaller(q850Cause));
         contactEnded(contact, EndCause.ofEstablishedEnd(q850Cause), report);
     }
 
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -447,17 +447,37 @@
         harness.advanceToMs(3000);
         harness.takeSent();
         contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
-        assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"));
+        assertEquals(harness.takeSent(), List.of("log named", "3: BYE Q.850;cause=16"));
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    /** The caller may have missed the release, or sent the naming before it arrived. */
+    @Test
+    public void aContactThatIsNamedAfterItsEndIsReleasedAgain() {
+        establish();
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        contactTable.releaseAcknowledged(tag(1));
+        harness.takeSent();
+        contactTable.establishedContactReported(namingRequest(3, 1), SWITCH_ID);
+        assertEquals(harness.takeSent(), List.of("log named", "3: BYE Q.850;cause=16"));
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
+    /** A release of another switch says nothing of the contact where the caller names it. */
+    @Test
+    public void aReleaseOfAnotherSwitchEndsNoContactThatIsNamedLater() {
+        contactTable.ended(8, SWITCH_CONNECTION_ID, tag(4), 34, "no_circuit", NO_REPORT);
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        assertEquals(contactTable.establishedCount(), 1);
+    }
+
     @Test
     public void aByeThatPrecedesTheNamingIsPassedOnAtTheNaming() {
         contactTable.byeReceived(9, request("BYE", 4));
         harness.advanceToMs(3000);
         harness.takeSent();
         contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
-        assertEquals(harness.takeSent(), List.of("FINISH 7 0 4 16"));
+        assertEquals(harness.takeSent(), List.of("log named", "FINISH 7 0 4 16"));
         assertEquals(contactTable.establishedCount(), 0);
     }
 
@@ -484,7 +504,7 @@
         contactTable.establishedContactReported(request, SWITCH_ID);
         contactTable.establishedContactReported(request, SWITCH_ID);
         assertEquals(contactTable.establishedCount(), 1);
-        assertEquals(harness.takeSent(), List.of());
+        assertEquals(harness.takeSent(), List.of("log named"));
         contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(4), 16, null, NO_REPORT);
         assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"));
         assertEquals(harness.takeNotifications(), List.of());
