Keep a caller's BYE of an unknown contact until the contact is named

Callers saw: a BYE that overtook its own naming on another connection was answered 481 and forgotten; the contact then stood and its switch kept the circuit. Counter early-byes.

--- a/src/main/java/martenslip/platform/contact/ContactCounters.java
+++ b/src/main/java/martenslip/platform/contact/ContactCounters.java
@@ -17,6 +17,8 @@
     long rings;
     /** Releases by a switch of contacts that were not known. */
     long earlyReleases;
+    /** BYEs of callers for contacts that were not known. */
+    long earlyByes;
     /** Contacts that were over when a caller named them as established. */
     long overWhenNamed;
 
@@ -34,6 +36,6 @@
         return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " deferred=" + deferred
                 + " abandoned=" + abandoned + " caller-gone=" + callerGone + " refused-unseen=" + refusedWithoutOffer
                 + " rings=" + rings + " ends=" + endsByCause
-                + " early-releases=" + earlyReleases + " over-when-named=" + overWhenNamed;
+                + " early-releases=" + earlyReleases + " early-byes=" + earlyByes + " over-when-named=" + overWhenNamed;
     }
 }
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -255,6 +255,8 @@
         } else if (isOpen) {
             // RFC 3261 section 15.1.2: a pending request of the dialog is still answered.
             callerLeft(contact);
+        } else if (contact == null) {
+            endReconciliation.byeReceivedForUnknownContact(request.callId());
         }
     }
 
--- a/src/main/java/martenslip/platform/contact/EndReconciliation.java
+++ b/src/main/java/martenslip/platform/contact/EndReconciliation.java
@@ -2,6 +2,7 @@
 
 import martenslip.control.Moment;
 import martenslip.eventloop.TimerWheel;
+import martenslip.platform.contact.EndedContacts.EarlyBye;
 import martenslip.platform.contact.EndedContacts.EarlyRelease;
 import martenslip.platform.contact.EndedContacts.SettledEnd;
 
@@ -10,6 +11,9 @@
  * that does not know of the end yet. Belongs to the decision thread.
  */
 final class EndReconciliation {
+    /** The connection of the set-up was the one of an earlier process. */
+    private static final long UNKNOWN_CONNECTION = 0;
+
     private final TimerWheel wheel;
     private final OutboundMessages outbound;
     private final ReleaseSender releaseSender;
@@ -48,6 +52,15 @@
         endedContacts.releasedBySwitch(tag, new EarlyRelease(switchId, switchConnectionId, q850Cause), now);
     }
 
+    /** Keeps a caller's BYE for a contact that is not known here, unless the contact has ended here before. */
+    void byeReceivedForUnknownContact(String tag) {
+        Moment now = wheel.now();
+        if (endedContacts.settledEnd(tag, now) == null) {
+            counters.earlyByes++;
+            endedContacts.releasedByCaller(tag, now);
+        }
+    }
+
     /**
      * Tells the caller or the switch if the contact that this caller names as established has ended already; returns
      * false if it has not.
@@ -59,6 +72,10 @@
         if (release != null && release.switchId() == switchId) {
             return tellCaller(naming, EndCause.toCaller(release.q850Cause()), "released by its switch before");
         }
+        EarlyBye bye = endedContacts.claimBye(tag, now);
+        if (bye != null) {
+            return tellSwitch(naming, switchId, bye);
+        }
         SettledEnd end = endedContacts.settledEnd(tag, now);
         if (end != null && end.wasEstablished()) {
             return tellCaller(naming, end.q850Cause(), "ended here before");
@@ -74,6 +91,14 @@
         return true;
     }
 
+    private boolean tellSwitch(SetUpRequest naming, long switchId, EarlyBye bye) {
+        counters.overWhenNamed++;
+        outbound.log("named", naming.tag() + " at " + naming.establishedSwitch() + " is over: released by its caller");
+        outbound.sendFinish(switchId, UNKNOWN_CONNECTION, naming.tag(), bye.q850Cause(), () -> {});
+        contactSettled(naming.tag(), new SettledEnd(true, bye.q850Cause()));
+        return true;
+    }
+
     private void endGivenUp(String tag, Record end) {
         outbound.log("end-given-up", tag + ": nobody has named it; " + end);
     }
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -481,6 +481,16 @@
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    /** A BYE answered here crosses the naming of the same contact on another connection. */
+    @Test
+    public void aContactNamedAfterItsByeWasAnsweredIsNotTakenOverAgain() {
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        contactTable.byeReceived(9, request("BYE", 4));
+        harness.takeSent();
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
     /** A cut of 6 s: the release was sent often into a connection that is then reset, and the caller comes again. */
     @Test
     public void aReleaseThatNobodyAcknowledgedIsSentOnALaterConnection() {
