Keep an unacknowledged release for 10 s, an unsent one for 60 s

Callers saw: a release sent into a connection that was cut for some seconds and then reset never came; six transmissions in 2.4 s, then it was forgotten, though it is due within 8 s. Change: six transmissions 400 ms apart as before, then one a second up to 10 s; one that no connection took waits 60 s. Log kind release tells of each that took more than one transmission, unheard of each given up; counters releases, releases-heard, releases-given-up. Two tests now expect the new log line where they expected nothing.

--- a/src/main/java/martenslip/platform/contact/ContactCounters.java
+++ b/src/main/java/martenslip/platform/contact/ContactCounters.java
@@ -22,6 +22,13 @@
     /** Contacts that were over when a caller named them as established. */
     long overWhenNamed;
 
+    /** Releases sent to callers, each counted once. */
+    long releases;
+
+    long releasesAcknowledged;
+    /** Releases that no caller acknowledged in time, or that gave way to newer ones. */
+    long releasesGivenUp;
+
     private final Map<String, Long> endsByCause = new TreeMap<>();
 
     /** Counts the end of a ring by its cause and, where there is one, the reason of its rejection. */
@@ -36,6 +43,8 @@
         return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " deferred=" + deferred
                 + " abandoned=" + abandoned + " caller-gone=" + callerGone + " refused-unseen=" + refusedWithoutOffer
                 + " rings=" + rings + " ends=" + endsByCause
-                + " early-releases=" + earlyReleases + " early-byes=" + earlyByes + " over-when-named=" + overWhenNamed;
+                + " early-releases=" + earlyReleases + " early-byes=" + earlyByes + " over-when-named=" + overWhenNamed
+                + " releases=" + releases + " releases-heard=" + releasesAcknowledged + " releases-given-up="
+                + releasesGivenUp;
     }
 }
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -57,7 +57,7 @@
         this.wheel = wheel;
         this.settings = settings;
         this.outbound = outbound;
-        releaseSender = new ReleaseSender(wheel, outbound);
+        releaseSender = new ReleaseSender(wheel, outbound, counters);
         endReconciliation = new EndReconciliation(wheel, outbound, releaseSender, counters);
         establishedContacts = new EstablishedContacts(outbound, releaseSender, this::establishedContactEnded);
     }
--- a/src/main/java/martenslip/platform/contact/ReleaseSender.java
+++ b/src/main/java/martenslip/platform/contact/ReleaseSender.java
@@ -3,18 +3,29 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.eventloop.TimerWheel;
 
 /**
  * Sends the releases of ended contacts to callers: on the connection of the set-up, else on any caller's connection,
- * and again until they are acknowledged. Belongs to the decision thread.
+ * and again until they are acknowledged. A caller need not acknowledge a release, so one that was sent is given up in
+ * the end; one that could not be sent waits for a connection. Belongs to the decision thread.
  */
 final class ReleaseSender {
-    /** How long an unacknowledged release waits until it is sent again. */
-    private static final Span RETRANSMIT_INTERVAL = Span.ofMillis(400);
+    /** How long an unacknowledged release waits at first until it is sent again: twice within the 1 s it is due in. */
+    private static final Span FIRST_RETRANSMIT_INTERVAL = Span.ofMillis(400);
+
+    private static final Span LATER_RETRANSMIT_INTERVAL = Span.ofMillis(1000);
+    /** Transmissions at the first interval. */
+    private static final int QUICK_TRANSMISSIONS = 6;
+
+    /** A release is due within 8 s where none could be sent; some connections swallow what is sent for as long. */
+    private static final Span SENT_LIFETIME = Span.ofMillis(10_000);
+
+    /** For a release that no connection has taken. */
+    private static final Span UNSENT_LIFETIME = Span.ofMillis(60_000);
 
-    private static final int MAX_TRANSMISSIONS = 6;
     private static final int MAX_PENDING_RELEASES = 4096;
 
     /** A release that its caller has not acknowledged. */
@@ -24,22 +35,34 @@
         /** The connection it was last sent on; a retransmission takes another one where there is one. */
         long connectionId;
 
+        final Moment endedAt;
         int transmissions;
 
-        PendingRelease(String tag, byte[] message, long connectionId) {
+        PendingRelease(String tag, byte[] message, long connectionId, Moment endedAt) {
             this.tag = tag;
             this.message = message;
             this.connectionId = connectionId;
+            this.endedAt = endedAt;
+        }
+
+        Span retransmitInterval() {
+            return transmissions < QUICK_TRANSMISSIONS ? FIRST_RETRANSMIT_INTERVAL : LATER_RETRANSMIT_INTERVAL;
+        }
+
+        Span lifetime() {
+            return transmissions == 0 ? UNSENT_LIFETIME : SENT_LIFETIME;
         }
     }
 
     private final TimerWheel wheel;
     private final OutboundMessages outbound;
+    private final ContactCounters counters;
     private final Map<String, PendingRelease> pendingByTag = new LinkedHashMap<>();
 
-    ReleaseSender(TimerWheel wheel, OutboundMessages outbound) {
+    ReleaseSender(TimerWheel wheel, OutboundMessages outbound, ContactCounters counters) {
         this.wheel = wheel;
         this.outbound = outbound;
+        this.counters = counters;
     }
 
     int pendingCount() {
@@ -48,18 +71,26 @@
 
     /** The caller has acknowledged the release, or answered that it does not know the contact. */
     void acknowledged(String tag) {
-        pendingByTag.remove(tag);
+        PendingRelease pending = pendingByTag.remove(tag);
+        if (pending != null) {
+            counters.releasesAcknowledged++;
+            if (pending.transmissions > 1) {
+                outbound.log("release", describe(pending) + ", acknowledged");
+            }
+        }
     }
 
-    /** Sends a release and keeps it until it is acknowledged or has been sent often enough. */
+    /** Sends a release and keeps it until it is acknowledged or its lifetime has passed. */
     void release(String tag, String calledNumber, int q850Cause, long connectionId) {
         if (pendingByTag.size() >= MAX_PENDING_RELEASES) {
-            outbound.log("releases", "too many unacknowledged releases; dropping the oldest");
-            pendingByTag.remove(pendingByTag.keySet().iterator().next());
+            PendingRelease oldest = pendingByTag.values().iterator().next();
+            outbound.log("releases", "too many unacknowledged releases; dropping the oldest: " + describe(oldest));
+            giveUp(oldest);
         }
-        PendingRelease pending =
-                new PendingRelease(tag, CallerMessages.release(tag, calledNumber, q850Cause), connectionId);
+        PendingRelease pending = new PendingRelease(
+                tag, CallerMessages.release(tag, calledNumber, q850Cause), connectionId, wheel.now());
         pendingByTag.put(tag, pending);
+        counters.releases++;
         transmitUntilAcknowledged(pending);
     }
 
@@ -79,16 +110,24 @@
         if (pendingByTag.get(pending.tag) != pending) {
             return;
         }
-        transmit(pending);
-        if (pending.transmissions >= MAX_TRANSMISSIONS) {
-            outbound.log(
-                    "unheard",
-                    "the release of " + pending.tag + " was sent " + pending.transmissions
-                            + " times without an answer");
-            pendingByTag.remove(pending.tag);
+        if (!pending.lifetime().longerThan(wheel.now().since(pending.endedAt))) {
+            outbound.log("unheard", describe(pending) + " and given up without an answer");
+            giveUp(pending);
             return;
         }
-        wheel.scheduleAfter(RETRANSMIT_INTERVAL, () -> transmitUntilAcknowledged(pending));
+        transmit(pending);
+        wheel.scheduleAfter(pending.retransmitInterval(), () -> transmitUntilAcknowledged(pending));
+    }
+
+    private void giveUp(PendingRelease pending) {
+        pendingByTag.remove(pending.tag);
+        counters.releasesGivenUp++;
+    }
+
+    private String describe(PendingRelease pending) {
+        return "the release of " + pending.tag + " was sent " + pending.transmissions + " times in "
+                + wheel.now().since(pending.endedAt).ns() / 1_000_000 + " ms, last on connection "
+                + pending.connectionId;
     }
 
     /**
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -272,7 +272,7 @@
         assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"));
         contactTable.releaseAcknowledged(tag(1));
         contactTable.callerConnectionEnded(3);
-        assertEquals(harness.takeSent(), List.of());
+        assertEquals(harness.takeSent(), List.of("log release"));
     }
 
     @Test
@@ -326,7 +326,23 @@
         assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=41", "1: BYE Q.850;cause=41"));
         contactTable.releaseAcknowledged(tag(1));
         harness.advanceToMs(5000);
-        assertEquals(harness.takeSent(), List.of());
+        assertEquals(harness.takeSent(), List.of("log release"));
+        assertEquals(contactTable.unacknowledgedReleaseCount(), 0);
+    }
+
+    @Test
+    public void aReleaseThatIsNeverAcknowledgedIsGivenUpAfterItsLifetime() {
+        establish();
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        for (int ms = 100; ms <= 9900; ms += 100) {
+            harness.advanceToMs(ms);
+        }
+        assertEquals(contactTable.unacknowledgedReleaseCount(), 1);
+        harness.takeSent();
+        for (int ms = 10_000; ms <= 12_000; ms += 100) {
+            harness.advanceToMs(ms);
+        }
+        assertEquals(harness.takeSent(), List.of("log unheard"));
         assertEquals(contactTable.unacknowledgedReleaseCount(), 0);
     }
 
