Read what a switch sends on a liveness probe's connection before it is closed

Callers saw: no release. A switch sends the releases it owes on the next connection opened; where that was a probe's, it was closed as soon as it was up, with the release unread. Change: a probe's connection stays for 1 s, then this side of the stream is ended, and the rest is read until the switch ends its side or for 1 s. FINISHED goes on another connection where the one it answers is gone or retiring.

--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -81,6 +81,12 @@
     /** How long an unacknowledged FINISH is kept, to be sent again on the next connection. */
     private static final Span PENDING_FINISH_LIFETIME = Span.ofMillis(4000);
 
+    /** A switch sends the releases it owes on the next connection opened, which may be a probe's. */
+    private static final Span PROBE_LINGER = Span.ofMillis(1000);
+
+    /** How long a retired probe waits for the switch to end its side too. */
+    private static final Span RETIRE_TIMEOUT = Span.ofMillis(1000);
+
     private static final int MAX_PENDING_FINISHES = 2048;
     /** How long closing waits for the queued messages of one connection to be written. */
     private static final Span FLUSH_TIMEOUT = Span.ofMillis(100);
@@ -88,8 +94,10 @@
     private static final class SwitchConnection {
         final Connection transportConnection;
         final SwitchEndpoint endpoint;
-        /** Opened only to check that the switch is alive; closed once it is established. */
+        /** Opened only to check that the switch is alive; retired some time after it is established. */
         boolean probe;
+        /** This side of the stream has ended; what the switch still sends is handled. */
+        boolean retiring;
 
         boolean established;
         Moment establishedAt;
@@ -333,7 +341,10 @@
         endpoint.pendingFinishes.remove(request.tag());
         for (boolean wantEstablished : new boolean[] {true, false}) {
             for (SwitchConnection connection : endpoint.connections) {
-                if (connection.established == wantEstablished && connection.transportConnection.send(message)) {
+                if (connection.established == wantEstablished
+                        && !connection.retiring
+                        && connection.transportConnection.send(message)) {
+                    connection.probe = false;
                     return new QueuedMessage(connection.transportConnection.id(), message);
                 }
             }
@@ -377,26 +388,33 @@
             finishes.remove();
         }
         endpoint.pendingFinishes.put(tag, new PendingFinish(cause, timerWheel.now()));
-        SwitchConnection preferred = connections.get(connectionId);
-        if (preferred != null && preferred.transportConnection.send(message)) {
-            return;
-        }
-        for (SwitchConnection connection : endpoint.connections) {
-            if (connection.established && connection.transportConnection.send(message)) {
-                return;
-            }
+        if (!sendOnAnyConnection(endpoint, connectionId, message)) {
+            message.completed();
         }
-        message.completed();
     }
 
-    /** Acknowledges a FINISH of the switch, on the same connection only. */
+    /** Acknowledges a FINISH of the switch, on the connection it came on if that is open, else on another one. */
     public void sendFinished(long switchId, long connectionId, String tag) {
-        SwitchConnection connection = connections.get(connectionId);
-        if (connection != null) {
-            connection.transportConnection.send(SwitchMessage.encodeFinished(tag));
+        SwitchEndpoint endpoint = endpoints.get(switchId);
+        if (endpoint != null) {
+            sendOnAnyConnection(endpoint, connectionId, OutgoingMessage.of(SwitchMessage.encodeFinished(tag)));
         }
     }
 
+    /** Sends on the preferred connection, else on an established one; returns false if there is none. */
+    private boolean sendOnAnyConnection(SwitchEndpoint endpoint, long preferredId, OutgoingMessage message) {
+        SwitchConnection preferred = connections.get(preferredId);
+        if (preferred != null && !preferred.retiring && preferred.transportConnection.send(message)) {
+            return true;
+        }
+        for (SwitchConnection connection : endpoint.connections) {
+            if (connection.established && !connection.retiring && connection.transportConnection.send(message)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private final Connection.Listener connectionListener = new Connection.Listener() {
         @Override
         public void messageReceived(Connection transportConnection, byte[] line) throws InterruptedException {
@@ -454,9 +472,8 @@
         connection.establishedAt = timerWheel.now();
         connection.endpoint.retryPause = Span.ZERO;
         connection.endpoint.liveness.signalReceived(timerWheel.now());
-        if (connection.probe && connection.endpoint.connections.size() > CONNECTIONS_PER_SWITCH) {
-            connection.transportConnection.close("it lives");
-            return;
+        if (connection.probe) {
+            timerWheel.scheduleAfter(PROBE_LINGER, () -> retireProbe(connection));
         }
         connection
                 .endpoint
@@ -467,6 +484,26 @@
                 (tag, finish) -> connection.transportConnection.send(SwitchMessage.encodeFinish(tag, finish.cause)));
     }
 
+    /**
+     * Ends a probe's connection unless it is needed: this side first, so that whatever the switch has written is read.
+     */
+    private void retireProbe(SwitchConnection connection) {
+        if (!isOpen(connection) || !connection.probe) {
+            return;
+        }
+        if (connection.endpoint.connections.size() <= CONNECTIONS_PER_SWITCH) {
+            connection.probe = false;
+            return;
+        }
+        connection.retiring = true;
+        connection.transportConnection.endOutput();
+        timerWheel.scheduleAfter(RETIRE_TIMEOUT, () -> connection.transportConnection.close("it lives"));
+    }
+
+    private boolean isOpen(SwitchConnection connection) {
+        return connections.get(connection.transportConnection.id()) == connection;
+    }
+
     private void connectionLost(Connection transportConnection, String reason) {
         SwitchConnection connection = connections.remove(transportConnection.id());
         if (connection == null) {
@@ -501,7 +538,7 @@
 
     /** Reports the latest LOAD if the connection is primary; else only notes that a LOAD was received. */
     private void reportGroupState(SwitchConnection connection) {
-        if (connections.get(connection.transportConnection.id()) != connection) {
+        if (!isOpen(connection)) {
             return;
         }
         connection.groupStateReported = true;
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -289,6 +289,22 @@
         return false;
     }
 
+    /**
+     * Ends this side of the stream once all queued messages are written. Messages are received until the peer ends its
+     * side; no further message may be sent. Returns false as {@link #send(OutgoingMessage)}.
+     */
+    public boolean endOutput() {
+        return send(OutgoingMessage.of(new byte[0], this::shutdownOutput));
+    }
+
+    private void shutdownOutput() {
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            close(String.valueOf(e.getMessage()));
+        }
+    }
+
     /** Closes the connection and discards unsent messages; no effect if it is closed already. */
     public void close(String reason) {
         List<OutgoingMessage> unwritten;
