Pass on a release that was read before its switch connection ended

Callers could see: no release. The reading thread had the message in hand while another thread (a failed write, a close by the decision thread) queued the connection's end first; the message was then dropped. Change: FINISH and FINISHED of a connection that has ended still count, for established and unknown contacts; its set-ups stay given up.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -422,6 +422,11 @@
             contactTable.ended(switchId, switchConnectionId, tag, q850Cause, note, report);
         }
 
+        @Override
+        public void releasedOnEndedConnection(long switchId, long switchConnectionId, String tag, int q850Cause) {
+            contactTable.releasedOnEndedConnection(switchId, switchConnectionId, tag, q850Cause);
+        }
+
         @Override
         public void loadReported(long switchId, float[] report) {
             contactTable.loadReported(switchId, report);
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -349,6 +349,17 @@
         }
     }
 
+    /**
+     * A switch's FINISH was read from a connection that has ended since. It releases an established or an unknown
+     * contact; the attempts of that connection have ended with it, and a later one is not meant.
+     */
+    public void releasedOnEndedConnection(long switchId, long switchConnectionId, String tag, int q850Cause) {
+        TrackedContact contact = contactsByTag.get(tag);
+        if (contact == null || contact.isEstablished) {
+            ended(switchId, switchConnectionId, tag, q850Cause, null, NO_REPORT);
+        }
+    }
+
     /** An answer counts only for the attempt in flight, and only if its START has been written. */
     private static boolean isAwaitingAnswerFrom(TrackedContact contact, long switchId) {
         return contact.attempt != null
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -55,6 +55,12 @@
          */
         void ended(long switchId, long connectionId, String tag, int cause, String note, float[] report);
 
+        /**
+         * The switch has ended the contact (FINISH) on a connection that has ended since: this counts for established
+         * and for unknown contacts, as the set-ups of the connection have been given up.
+         */
+        void releasedOnEndedConnection(long switchId, long connectionId, String tag, int cause);
+
         /** The switch has reported its load (LOAD). */
         void loadReported(long switchId, float[] report);
 
@@ -440,7 +446,7 @@
                 transportConnection.close("unreadable line");
                 return;
             }
-            executor.run(() -> handleMessage(transportConnection.id(), message));
+            executor.run(() -> handleMessage(connection, message));
         }
 
         @Override
@@ -556,12 +562,13 @@
         }
     }
 
-    private void handleMessage(long connectionId, SwitchMessage message) {
-        SwitchConnection connection = connections.get(connectionId);
-        if (connection == null) {
+    private void handleMessage(SwitchConnection connection, SwitchMessage message) {
+        SwitchEndpoint endpoint = connection.endpoint;
+        long connectionId = connection.transportConnection.id();
+        if (!isOpen(connection)) {
+            handleLateMessage(endpoint, connectionId, message);
             return;
         }
-        SwitchEndpoint endpoint = connection.endpoint;
         switch (message.verb()) {
             case "STARTED" -> listener.started(endpoint.id, connectionId, message.tag(), message.description());
             case "FINISH" ->
@@ -583,6 +590,20 @@
         }
     }
 
+    /**
+     * Handles a message that was read whole before its connection ended and arrives here after that: any thread may
+     * notice the end first. The set-ups of the connection have been given up, but a release of an established contact
+     * is still due.
+     */
+    private void handleLateMessage(SwitchEndpoint endpoint, long connectionId, SwitchMessage message) {
+        switch (message.verb()) {
+            case "FINISH" ->
+                listener.releasedOnEndedConnection(endpoint.id, connectionId, message.tag(), message.cause());
+            case "FINISHED" -> endpoint.pendingFinishes.remove(message.tag());
+            default -> drops.increment("a switch's line after its connection");
+        }
+    }
+
     /** Closes all connections and opens no further ones; queued messages get a limited time to be written. */
     public void close() {
         closing = true;
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -507,6 +507,25 @@
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    /** The connection's set-ups have been given up, and the next attempt is under way at the same switch. */
+    @Test
+    public void aRefusalOnAnEndedConnectionDoesNotEndALaterAttempt() {
+        offerAndRing();
+        contactTable.switchConnectionEnded(SWITCH_ID, SWITCH_CONNECTION_ID, true);
+        contactTable.notifyController(controller -> contactTable.ring(1, SWITCH_ID, Span.ofMillis(2000)));
+        harness.takeNotifications();
+        contactTable.releasedOnEndedConnection(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 34);
+        assertEquals(harness.takeNotifications(), List.of());
+    }
+
+    @Test
+    public void aReleaseOnAnEndedConnectionReachesTheCaller() {
+        establish();
+        contactTable.switchConnectionEnded(SWITCH_ID, SWITCH_CONNECTION_ID, true);
+        contactTable.releasedOnEndedConnection(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16);
+        assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=16"));
+    }
+
     /** A cut of 6 s: the release was sent often into a connection that is then reset, and the caller comes again. */
     @Test
     public void aReleaseThatNobodyAcknowledgedIsSentOnALaterConnection() {
