Acknowledge a switch's release once the contact's caller has heard of it

Callers could see: a release that a process had acknowledged, and had not yet passed on when it was killed or shut down, is not due to its successor any more. Cause: FINISHED was sent as soon as the FINISH was read, for unknown contacts too. Change: the FINISHED of a release waits for the caller's answer to the BYE; repeated releases of contacts that ended here are acknowledged at once; refusals as before. Test: ContactTableTest#aReleaseIsAcknowledgedToTheSwitchOnceTheCallerHasHeardOfIt. Two tests used the FINISHED of an unknown id to know that a connection had been read: one now waits until the end is kept, the other ends a known contact first; both check what they did.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -534,6 +534,11 @@
         return contactTable.openCount();
     }
 
+    /** For tests, on the decision thread: the number of ends whose contacts no caller has named. */
+    int unclaimedEndCount() {
+        return contactTable.unclaimedEndCount();
+    }
+
     /** For tests, on the decision thread: whether every listed switch has reported the state of its group. */
     boolean allGroupStatesReported() {
         return switchConnections.allGroupStatesReported();
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -206,7 +206,11 @@
         outbound.contactAnswered(request.connectionId(), request.tag());
         if (!contactsByTag.containsKey(request.tag())) {
             releaseSender.release(
-                    request.tag(), request.calledNumber(), EndCause.TEMPORARY_FAILURE, request.connectionId());
+                    request.tag(),
+                    request.calledNumber(),
+                    EndCause.TEMPORARY_FAILURE,
+                    request.connectionId(),
+                    () -> {});
         }
     }
 
@@ -320,33 +324,31 @@
 
     /** A switch has sent a FINISH: it rejects a ring or releases an established contact. An empty report means none. */
     public void ended(long switchId, long switchConnectionId, String tag, int q850Cause, String note, float[] report) {
-        outbound.sendFinished(switchId, switchConnectionId, tag);
         TrackedContact contact = contactsByTag.get(tag);
         if (contact == null) {
             endReconciliation.releaseReceivedForUnknownContact(switchId, switchConnectionId, tag, q850Cause);
             return;
         }
-        if (!isAwaitingAnswerFrom(contact, switchId)) {
+        boolean isExpected = isAwaitingAnswerFrom(contact, switchId);
+        if (isExpected && contact.isEstablished) {
+            establishedContacts.releasedBySwitch(contact, switchConnectionId, q850Cause, report);
             return;
         }
-        if (contact.attempt.isCancelled && !contact.isEstablished) {
+        outbound.sendFinished(switchId, switchConnectionId, tag);
+        if (!isExpected) {
+            return;
+        }
+        if (contact.attempt.isCancelled) {
             // It crossed the FINISH that is on its way to the switch, which counts; its load report is still valid.
             if (report.length > 0) {
                 loadReported(switchId, report);
             }
             return;
         }
-        if (contact.isEstablished) {
-            establishedContacts.releasedBySwitch(contact, q850Cause, report);
-        } else {
-            EndCause endCause = EndCause.ofRingEnd(q850Cause, note);
-            rememberGroupSize(switchId, report);
-            attemptEnded(
-                    contact,
-                    endCause.cause(),
-                    endCause.rejectionReason(),
-                    reportOrGroupState(contact, endCause, report));
-        }
+        EndCause endCause = EndCause.ofRingEnd(q850Cause, note);
+        rememberGroupSize(switchId, report);
+        attemptEnded(
+                contact, endCause.cause(), endCause.rejectionReason(), reportOrGroupState(contact, endCause, report));
     }
 
     /**
--- a/src/main/java/martenslip/platform/contact/EndReconciliation.java
+++ b/src/main/java/martenslip/platform/contact/EndReconciliation.java
@@ -38,10 +38,17 @@
         endedContacts.settled(tag, end, wheel.now());
     }
 
-    /** Keeps a switch's release of a contact that is not known here, unless the contact has ended here before. */
+    /**
+     * Keeps a switch's release of a contact that is not known here, unless the contact has ended here before. The
+     * release is acknowledged once the contact's caller has heard of it: the switch then need not send it to the process
+     * that may follow this one.
+     */
     void releaseReceivedForUnknownContact(long switchId, long switchConnectionId, String tag, int q850Cause) {
         Moment now = wheel.now();
         if (endedContacts.settledEnd(tag, now) != null) {
+            if (!releaseSender.isPending(tag)) {
+                outbound.sendFinished(switchId, switchConnectionId, tag);
+            }
             return;
         }
         counters.earlyReleases++;
@@ -70,7 +77,11 @@
         String tag = naming.tag();
         EarlyRelease release = endedContacts.claimRelease(tag, now);
         if (release != null && release.switchId() == switchId) {
-            return tellCaller(naming, EndCause.toCaller(release.q850Cause()), "released by its switch before");
+            return tellCaller(
+                    naming,
+                    EndCause.toCaller(release.q850Cause()),
+                    "released by its switch before",
+                    () -> outbound.sendFinished(switchId, release.switchConnectionId(), tag));
         }
         EarlyBye bye = endedContacts.claimBye(tag, now);
         if (bye != null) {
@@ -78,15 +89,15 @@
         }
         SettledEnd end = endedContacts.settledEnd(tag, now);
         if (end != null && end.wasEstablished()) {
-            return tellCaller(naming, end.q850Cause(), "ended here before");
+            return tellCaller(naming, end.q850Cause(), "ended here before", () -> {});
         }
         return false;
     }
 
-    private boolean tellCaller(SetUpRequest naming, int q850Cause, String reason) {
+    private boolean tellCaller(SetUpRequest naming, int q850Cause, String reason, Runnable onAcknowledged) {
         counters.overWhenNamed++;
         outbound.log("named", naming.tag() + " at " + naming.establishedSwitch() + " is over: " + reason);
-        releaseSender.release(naming.tag(), naming.calledNumber(), q850Cause, naming.connectionId());
+        releaseSender.release(naming.tag(), naming.calledNumber(), q850Cause, naming.connectionId(), onAcknowledged);
         contactSettled(naming.tag(), new SettledEnd(true, q850Cause));
         return true;
     }
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -62,9 +62,15 @@
         contactEnded(contact, RingEndCause.CALLED_OFF, NO_REPORT);
     }
 
-    /** Ends a contact by its switch's FINISH; every cause but normal clearing is sent on as a temporary failure. */
-    void releasedBySwitch(TrackedContact contact, int q850Cause, float[] report) {
-        sendRelease(contact, EndCause.toCaller(q850Cause));
+    /**
+     * Ends a contact by its switch's FINISH; every cause but normal clearing is sent on as a temporary failure. The
+     * FINISH is acknowledged on the given connection once the caller has acknowledged the release.
+     */
+    void releasedBySwitch(TrackedContact contact, long switchConnectionId, int q850Cause, float[] report) {
+        sendRelease(
+                contact,
+                EndCause.toCaller(q850Cause),
+                () -> outbound.sendFinished(contact.attempt.switchId, switchConnectionId, contact.tag));
         contactEnded(contact, EndCause.ofEstablishedEnd(q850Cause), report);
     }
 
@@ -82,7 +88,7 @@
         }
         for (TrackedContact contact : unacknowledged) {
             sendFinish(contact);
-            sendRelease(contact, EndCause.TEMPORARY_FAILURE);
+            sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
             contactEnded(contact, RingEndCause.CALLED_OFF, NO_REPORT);
         }
     }
@@ -95,7 +101,7 @@
         List<TrackedContact> ended = contactsMatching(contact -> contact.attempt.switchId == switchId
                 && (establishedBefore == null || contact.establishedAt.before(establishedBefore)));
         for (TrackedContact contact : ended) {
-            sendRelease(contact, EndCause.TEMPORARY_FAILURE);
+            sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
             contactEnded(contact, RingEndCause.CUT, NO_REPORT);
         }
         if (!ended.isEmpty()) {
@@ -118,8 +124,8 @@
                 () -> {});
     }
 
-    private void sendRelease(TrackedContact contact, int q850Cause) {
-        releaseSender.release(contact.tag, contact.calledNumber, q850Cause, contact.callerConnectionId);
+    private void sendRelease(TrackedContact contact, int q850Cause, Runnable onAcknowledged) {
+        releaseSender.release(contact.tag, contact.calledNumber, q850Cause, contact.callerConnectionId, onAcknowledged);
     }
 
     private void contactEnded(TrackedContact contact, RingEndCause cause, float[] report) {
--- a/src/main/java/martenslip/platform/contact/ReleaseSender.java
+++ b/src/main/java/martenslip/platform/contact/ReleaseSender.java
@@ -36,13 +36,15 @@
         long connectionId;
 
         final Moment endedAt;
+        final Runnable onAcknowledged;
         int transmissions;
 
-        PendingRelease(String tag, byte[] message, long connectionId, Moment endedAt) {
+        PendingRelease(String tag, byte[] message, long connectionId, Moment endedAt, Runnable onAcknowledged) {
             this.tag = tag;
             this.message = message;
             this.connectionId = connectionId;
             this.endedAt = endedAt;
+            this.onAcknowledged = onAcknowledged;
         }
 
         Span retransmitInterval() {
@@ -74,21 +76,30 @@
         PendingRelease pending = pendingByTag.remove(tag);
         if (pending != null) {
             counters.releasesAcknowledged++;
+            pending.onAcknowledged.run();
             if (pending.transmissions > 1) {
                 outbound.log("release", describe(pending) + ", acknowledged");
             }
         }
     }
 
-    /** Sends a release and keeps it until it is acknowledged or its lifetime has passed. */
-    void release(String tag, String calledNumber, int q850Cause, long connectionId) {
+    /** Whether the release of this contact waits to be acknowledged. */
+    boolean isPending(String tag) {
+        return pendingByTag.containsKey(tag);
+    }
+
+    /**
+     * Sends a release and keeps it until it is acknowledged or its lifetime has passed. {@code onAcknowledged} runs in
+     * the first case only.
+     */
+    void release(String tag, String calledNumber, int q850Cause, long connectionId, Runnable onAcknowledged) {
         if (pendingByTag.size() >= MAX_PENDING_RELEASES) {
             PendingRelease oldest = pendingByTag.values().iterator().next();
             outbound.log("releases", "too many unacknowledged releases; dropping the oldest: " + describe(oldest));
             giveUp(oldest);
         }
         PendingRelease pending = new PendingRelease(
-                tag, CallerMessages.release(tag, calledNumber, q850Cause), connectionId, wheel.now());
+                tag, CallerMessages.release(tag, calledNumber, q850Cause), connectionId, wheel.now(), onAcknowledged);
         pendingByTag.put(tag, pending);
         counters.releases++;
         transmitUntilAcknowledged(pending);
--- a/src/test/java/martenslip/platform/ControllerServiceTest.java
+++ b/src/test/java/martenslip/platform/ControllerServiceTest.java
@@ -143,9 +143,9 @@
         firstSocket
                 .getOutputStream()
                 .write("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:0;x1:9\"}}\n".getBytes());
-        // The FINISHED for an unknown id comes after the load report on this connection, so the report has been read.
-        new ReceivedMessage(firstSocket, "", OTHER_CALL_ID, "").finish(16, "");
-        switchStandIn.next("FINISHED");
+        // The FINISH of an unknown id comes after the load report on this connection, so the report has been read.
+        new ReceivedMessage(firstSocket, "", "9b1f03aa5c7e2d4f", "").finish(16, "");
+        PlatformStandIn.awaitCondition(service, () -> service.unclaimedEndCount() == 1);
         secondSocket
                 .getOutputStream()
                 .write(("{\"verb\":\"FINISH\",\"tag\":\"" + CALL_ID
--- a/src/test/java/martenslip/platform/WriteRaceTest.java
+++ b/src/test/java/martenslip/platform/WriteRaceTest.java
@@ -206,6 +206,20 @@
                 service, () -> switchStandIn.connections.size() >= connectionCount && service.allGroupStatesReported());
     }
 
+    /** Establishes a contact, which its switch then releases; both sides acknowledge the release. */
+    private static void endContact(CallerConnection connection, SwitchStandIn switchStandIn, String callId)
+            throws Exception {
+        connection.invite(callId, "dear", 3000, "m=audio");
+        ReceivedMessage start = switchStandIn.next("START");
+        start.started("m=audio 9");
+        assertTrue(connection.next().startsWith("SIP/2.0 200 "));
+        connection.send(CallerConnection.message("ACK", callId, "", ""));
+        start.finish(16, "");
+        assertTrue(connection.next().startsWith("BYE "));
+        connection.send("SIP/2.0 200 OK\r\nCall-ID: " + callId + "\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+        switchStandIn.next("FINISHED");
+    }
+
     /**
      * The FINISH of a first attempt is resent on a further connection until the switch acknowledges it. Resent during a
      * second attempt, which has the same id, it would end that one.
@@ -215,6 +229,7 @@
         CallerConnection connection = PlatformStandIn.connectReadyCaller(platform, service);
         SwitchStandIn switchStandIn = switches.get(1);
         awaitConnections(switchStandIn, 2);
+        endContact(connection, switchStandIn, OTHER_CALL_ID);
         connection.invite(CALL_ID, "dear", 3000, "m=audio");
         ReceivedMessage firstStart = switchStandIn.next("START");
         // The answer has no description: the attempt is cancelled, and the contact rings again after the release time.
@@ -228,7 +243,8 @@
                 .orElseThrow()
                 .close();
         awaitConnections(switchStandIn, 3);
-        // The FINISHED on the new connection comes after everything the controller sends there unasked.
+        // The release of a contact that ended before is acknowledged at once: its FINISHED comes after everything the
+        // controller sends there unasked.
         new ReceivedMessage(switchStandIn.connections.get(2), "", OTHER_CALL_ID, "").finish(16, "");
         for (ReceivedMessage received = switchStandIn.receivedMessages.poll(10, java.util.concurrent.TimeUnit.SECONDS);
                 ; ) {
--- a/src/test/java/martenslip/platform/contact/ContactTableHarness.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableHarness.java
@@ -32,6 +32,9 @@
     final TimerWheel wheel = new TimerWheel(new Moment(0));
     final List<String> sent = new ArrayList<>();
     final List<String> notifications = new ArrayList<>();
+    /** The contacts whose FINISH was acknowledged to a switch. */
+    final List<Long> finishedTags = new ArrayList<>();
+
     final Set<Long> closedConnections = new HashSet<>();
     final ContactTable contactTable = new ContactTable(wheel, SETTINGS, this);
     boolean isUnreachable;
@@ -191,7 +194,7 @@
 
     @Override
     public void sendFinished(long switchId, long switchConnectionId, String tag) {
-        // The platform sets no limit for this message, so no test checks it.
+        finishedTags.add(Long.parseLong(tag, 16));
     }
 
     @Override
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -526,6 +526,22 @@
         assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=16"));
     }
 
+    /** What is acknowledged is not sent to the process that follows a killed one. */
+    @Test
+    public void aReleaseIsAcknowledgedToTheSwitchOnceTheCallerHasHeardOfIt() {
+        establish();
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        contactTable.ended(SWITCH_ID, 41, tag(1), 16, null, NO_REPORT);
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(4), 16, null, NO_REPORT);
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        assertEquals(harness.finishedTags, List.of());
+        contactTable.releaseAcknowledged(tag(1));
+        contactTable.releaseAcknowledged(tag(4));
+        assertEquals(harness.finishedTags, List.of(1L, 4L));
+        contactTable.ended(SWITCH_ID, 42, tag(1), 16, null, NO_REPORT);
+        assertEquals(harness.finishedTags, List.of(1L, 4L, 1L));
+    }
+
     /** A cut of 6 s: the release was sent often into a connection that is then reset, and the caller comes again. */
     @Test
     public void aReleaseThatNobodyAcknowledgedIsSentOnALaterConnection() {
