Send an unacknowledged release on a further connection after 150 ms, not 400 ms

A retransmission avoided only the connection before it, so two such connections could take turns. Change: the first six transmissions are 150 ms apart, each on a connection not tried before; the log names the connections. Test: ContactTableTest#aReleaseTriesFourConnectionsWithinTheSecondItIsDueIn (driven time; before: the fourth after 1.2 s).

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 import martenslip.control.ControllerFactory;
@@ -475,8 +476,8 @@
         }
 
         @Override
-        public long otherCallerConnection(long excludedConnectionId) {
-            return callerConnections.otherConnection(excludedConnectionId);
+        public long otherCallerConnection(Set<Long> excludedConnectionIds) {
+            return callerConnections.otherConnection(excludedConnectionIds);
         }
 
         @Override
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -181,22 +181,23 @@
     }
 
     /**
-     * Returns the id of the connection with the most recent input among those that sent a valid message:
-     * {@code excludedId} only if there is no other, 0 if there is none.
+     * Returns the id of the connection with the most recent input among those that sent a valid message: an excluded
+     * one only if there is no other, 0 if there is none.
      */
-    public long otherConnection(long excludedId) {
-        CallerConnection mostRecent = null;
+    public long otherConnection(Set<Long> excludedIds) {
+        CallerConnection best = null;
         for (CallerConnection caller : callers.values()) {
-            boolean onlyExcluded = mostRecent != null && mostRecent.connection.id() == excludedId;
-            if (caller.hasSentValidMessage
-                    && (mostRecent == null
-                            || onlyExcluded
-                            || caller.connection.id() != excludedId
-                                    && mostRecent.lastReceivedNs - caller.lastReceivedNs < 0)) {
-                mostRecent = caller;
+            if (caller.hasSentValidMessage && (best == null || isPreferred(caller, best, excludedIds))) {
+                best = caller;
             }
         }
-        return mostRecent == null ? 0 : mostRecent.connection.id();
+        return best == null ? 0 : best.connection.id();
+    }
+
+    private static boolean isPreferred(CallerConnection candidate, CallerConnection best, Set<Long> excludedIds) {
+        boolean isExcluded = excludedIds.contains(candidate.connection.id());
+        boolean isBestExcluded = excludedIds.contains(best.connection.id());
+        return isExcluded == isBestExcluded ? best.lastReceivedNs - candidate.lastReceivedNs < 0 : isBestExcluded;
     }
 
     /** A set-up got its final response: it is no longer open on its connection. */
--- a/src/main/java/martenslip/platform/contact/OutboundMessages.java
+++ b/src/main/java/martenslip/platform/contact/OutboundMessages.java
@@ -1,5 +1,6 @@
 package martenslip.platform.contact;
 
+import java.util.Set;
 import martenslip.sip.transport.QueuedMessage;
 
 /**
@@ -11,10 +12,10 @@
     boolean sendToCaller(long connectionId, byte[] message);
 
     /**
-     * An open connection of a well-behaved caller, other than the excluded one if there is another; 0 where none is
+     * An open connection of a well-behaved caller: one that is not excluded if there is such a one; 0 where none is
      * open.
      */
-    long otherCallerConnection(long excludedConnectionId);
+    long otherCallerConnection(Set<Long> excludedConnectionIds);
 
     /** The set-up with this tag, received on this connection, has its final answer. */
     void contactAnswered(long connectionId, String tag);
--- a/src/main/java/martenslip/platform/contact/ReleaseSender.java
+++ b/src/main/java/martenslip/platform/contact/ReleaseSender.java
@@ -1,8 +1,10 @@
 package martenslip.platform.contact;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.eventloop.TimerWheel;
@@ -13,11 +15,11 @@
  * the end; one that could not be sent waits for a connection. Belongs to the decision thread.
  */
 final class ReleaseSender {
-    /** How long an unacknowledged release waits at first until it is sent again: twice within the 1 s it is due in. */
-    private static final Span FIRST_RETRANSMIT_INTERVAL = Span.ofMillis(400);
+    /** How long an unacknowledged release waits at first until it is sent again: it is due within 1 s. */
+    private static final Span FIRST_RETRANSMIT_INTERVAL = Span.ofMillis(150);
 
     private static final Span LATER_RETRANSMIT_INTERVAL = Span.ofMillis(1000);
-    /** Transmissions at the first interval. */
+    /** Transmissions at the first interval, each on a connection that was not tried before if there is one. */
     private static final int QUICK_TRANSMISSIONS = 6;
 
     /** A release is due within 8 s where none could be sent; some connections swallow what is sent for as long. */
@@ -26,14 +28,19 @@
     /** For a release that no connection has taken. */
     private static final Span UNSENT_LIFETIME = Span.ofMillis(60_000);
 
+    /** After this many the connections are tried again. */
+    private static final int MAX_TRIED_CONNECTIONS = 8;
+
     private static final int MAX_PENDING_RELEASES = 4096;
 
     /** A release that its caller has not acknowledged. */
     private static final class PendingRelease {
         final String tag;
         final byte[] message;
-        /** The connection it was last sent on; a retransmission takes another one where there is one. */
+        /** The connection of the set-up, then the one it was last sent on. */
         long connectionId;
+        /** The connections it was sent on; a retransmission takes another one where there is one. */
+        final Set<Long> triedConnectionIds = new LinkedHashSet<>();
 
         final Moment endedAt;
         final Runnable onAcknowledged;
@@ -137,23 +144,32 @@
 
     private String describe(PendingRelease pending) {
         return "the release of " + pending.tag + " was sent " + pending.transmissions + " times in "
-                + wheel.now().since(pending.endedAt).ns() / 1_000_000 + " ms, last on connection "
-                + pending.connectionId;
+                + wheel.now().since(pending.endedAt).ns() / 1_000_000 + " ms, on connections "
+                + pending.triedConnectionIds;
     }
 
     /**
-     * The first transmission tries the given connection; all others, and a first one that fails, take another
-     * connection.
+     * The first transmission tries the connection of the set-up; all others, and a first one that fails, take another
+     * connection: one that was not tried yet, or, once all were tried, any.
      */
     private void transmit(PendingRelease pending) {
         if (pending.transmissions == 0 && outbound.sendToCaller(pending.connectionId, pending.message)) {
-            pending.transmissions++;
+            transmitted(pending, pending.connectionId);
             return;
         }
-        long otherConnectionId = outbound.otherCallerConnection(pending.connectionId);
+        if (pending.triedConnectionIds.size() >= MAX_TRIED_CONNECTIONS) {
+            pending.triedConnectionIds.clear();
+            pending.triedConnectionIds.add(pending.connectionId);
+        }
+        long otherConnectionId = outbound.otherCallerConnection(pending.triedConnectionIds);
         if (otherConnectionId != 0 && outbound.sendToCaller(otherConnectionId, pending.message)) {
-            pending.connectionId = otherConnectionId;
-            pending.transmissions++;
+            transmitted(pending, otherConnectionId);
         }
     }
+
+    private static void transmitted(PendingRelease pending, long connectionId) {
+        pending.connectionId = connectionId;
+        pending.triedConnectionIds.add(connectionId);
+        pending.transmissions++;
+    }
 }
--- a/src/test/java/martenslip/platform/contact/CheckedOutboundMessages.java
+++ b/src/test/java/martenslip/platform/contact/CheckedOutboundMessages.java
@@ -18,7 +18,7 @@
     }
 
     @Override
-    public long otherCallerConnection(long excludedConnectionId) {
+    public long otherCallerConnection(Set<Long> excludedConnectionIds) {
         return 1;
     }
 
--- a/src/test/java/martenslip/platform/contact/ContactTableHarness.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableHarness.java
@@ -47,6 +47,8 @@
     private final List<RevocableMessage> queuedStarts = new ArrayList<>();
     private final List<Runnable> finishCallbacks = new ArrayList<>();
     long otherCallerConnection = 1;
+    /** Taken before {@link #otherCallerConnection}, each where it is not excluded. */
+    final List<Long> furtherCallerConnections = new ArrayList<>();
 
     ContactTableHarness() {
         contactTable.setController(this);
@@ -130,8 +132,11 @@
     }
 
     @Override
-    public long otherCallerConnection(long excludedConnectionId) {
-        return otherCallerConnection;
+    public long otherCallerConnection(Set<Long> excludedConnectionIds) {
+        return furtherCallerConnections.stream()
+                .filter(connectionId -> !excludedConnectionIds.contains(connectionId))
+                .findFirst()
+                .orElse(otherCallerConnection);
     }
 
     @Override
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -322,7 +322,7 @@
     public void aReleaseIsRetransmittedUntilAcknowledged() {
         establish();
         contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 41, null, NO_REPORT);
-        harness.advanceToMs(401);
+        harness.advanceToMs(151);
         assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=41", "1: BYE Q.850;cause=41"));
         contactTable.releaseAcknowledged(tag(1));
         harness.advanceToMs(5000);
@@ -330,6 +330,24 @@
         assertEquals(contactTable.unacknowledgedReleaseCount(), 0);
     }
 
+    /** Guards against a release that is late as three connections in a row did not carry it (soak of the fleet trial). */
+    @Test
+    public void aReleaseTriesFourConnectionsWithinTheSecondItIsDueIn() {
+        establish();
+        harness.furtherCallerConnections.addAll(List.of(2L, 3L, 4L));
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        for (int ms = 10; ms <= 600; ms += 10) {
+            harness.advanceToMs(ms);
+        }
+        assertEquals(
+                harness.takeSent().subList(0, 4),
+                List.of(
+                        "1: BYE Q.850;cause=16",
+                        "2: BYE Q.850;cause=16",
+                        "3: BYE Q.850;cause=16",
+                        "4: BYE Q.850;cause=16"));
+    }
+
     @Test
     public void aReleaseThatIsNeverAcknowledgedIsGivenUpAfterItsLifetime() {
         establish();
