Be ready only when the module has each group's state

Callers saw: the first contacts after 'ready' went over a tandem or were refused, as the module knew no circuit of a group yet (known red, WriteRaceTest and ControllerServiceTest#theJournalResumesAfterABreak). Cause: a LOAD on a connection that is not the primary one made the group count as reported, but only the primary's LOAD reaches the module. Change: the first connection that brings a LOAD becomes the primary one, and a group counts as reported once the listener has it. Test: SwitchConnectionsTest#aGroupsStateIsKnownOnlyOnceItHasBeenReported.

--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -107,7 +107,6 @@
 
         boolean established;
         Moment establishedAt;
-        boolean groupStateReported;
         /** The connection whose LOAD messages count; read by the reading threads. */
         volatile boolean primary;
         /** The newest LOAD that was read and not yet handled, or that is kept while another connection is primary. */
@@ -131,6 +130,9 @@
         /** By tag, oldest first. */
         final Map<String, PendingFinish> pendingFinishes = new LinkedHashMap<>();
 
+        /** Whether the listener has the state of the switch's group; read by the reading threads. */
+        volatile boolean groupStateReported;
+
         boolean listed = true;
         boolean draining;
         /** Listed and not draining; read by the writing threads. */
@@ -248,13 +250,13 @@
         return endpoints.values().stream()
                 .allMatch(endpoint -> !endpoint.listed
                         || endpoint.connectFailed
+                        || endpoint.groupStateReported
                         || endpoint.connections.stream()
-                                .anyMatch(connection -> connection.groupStateReported
-                                        || connection.established
-                                                && timerWheel
-                                                        .now()
-                                                        .since(connection.establishedAt)
-                                                        .longerThan(GROUP_STATE_TIMEOUT)));
+                                .anyMatch(connection -> connection.established
+                                        && timerWheel
+                                                .now()
+                                                .since(connection.establishedAt)
+                                                .longerThan(GROUP_STATE_TIMEOUT)));
     }
 
     /** Number of connections that are open or being opened. */
@@ -433,7 +435,7 @@
                 // LOAD messages arrive at hundreds a second and only the newest counts: at most one is queued for the
                 // decision thread, and those of other connections are not parsed until their connection is primary.
                 if (connection.latestLoad.getAndSet(line) == null
-                        && (connection.primary || !connection.groupStateReported)) {
+                        && (connection.primary || !connection.endpoint.groupStateReported)) {
                     executor.run(() -> reportGroupState(connection));
                 }
                 return;
@@ -533,25 +535,36 @@
         }
         if (wasPrimary && !endpoint.connections.isEmpty()) {
             makePrimary(endpoint.connections.get(0));
+            reportGroupState(endpoint.connections.get(0));
         }
         scheduleRetry(endpoint);
     }
 
+    /** Makes a connection the first in its endpoint's list, whose LOAD messages count and which takes set-ups first. */
     private void makePrimary(SwitchConnection connection) {
+        List<SwitchConnection> ordered = connection.endpoint.connections;
+        ordered.get(0).primary = false;
+        ordered.remove(connection);
+        ordered.add(0, connection);
         connection.primary = true;
-        reportGroupState(connection);
     }
 
-    /** Reports the latest LOAD if the connection is primary; else only notes that a LOAD was received. */
+    /**
+     * Reports the latest LOAD if the connection is primary. The first connection of a switch that brings a LOAD becomes
+     * the primary one, so that a group whose state was received is known to the listener.
+     */
     private void reportGroupState(SwitchConnection connection) {
         if (!isOpen(connection)) {
             return;
         }
-        connection.groupStateReported = true;
+        if (!connection.endpoint.groupStateReported) {
+            makePrimary(connection);
+        }
         byte[] latestLoad = connection.primary ? connection.latestLoad.getAndSet(null) : null;
         if (latestLoad == null) {
             return;
         }
+        connection.endpoint.groupStateReported = true;
         try {
             listener.loadReported(
                     connection.endpoint.id,
--- a/src/test/java/martenslip/platform/ControllerServiceTest.java
+++ b/src/test/java/martenslip/platform/ControllerServiceTest.java
@@ -152,6 +152,7 @@
                                 + "\",\"opts\":{\"load\":\"x0:1;x1:9\"},\"rc\":16}\n")
                         .getBytes());
         assertTrue(connection.next().startsWith("BYE "));
+        connection.acknowledgeRelease(CALL_ID);
         connection.invite(OTHER_CALL_ID, "cheap", 400, DESCRIPTION);
         assertTrue(
                 connection.next().startsWith("SIP/2.0 5"),
@@ -203,6 +204,7 @@
                 switchListEvent(2, false, instanceJson("s-1", port, 1, "removed"), instanceJson("s-9", port, 1, "up")));
         // The old switch will send nothing more, so its contacts end with it.
         assertTrue(connection.next().startsWith("BYE "));
+        connection.acknowledgeRelease(CALL_ID);
         connection.invite(OTHER_CALL_ID, "dear", 3000, DESCRIPTION);
         switches.get(1).next("START").started("new");
         assertTrue(connection.next().endsWith("new"));
@@ -332,6 +334,7 @@
         newConnection.send(CallerConnection.message("INVITE", OTHER_CALL_ID, "Routing-Data: at:s-none\r\n", ""));
         String firstBye = newConnection.next();
         assertTrue(firstBye.startsWith("BYE ") && firstBye.contains(OTHER_CALL_ID), firstBye);
+        newConnection.acknowledgeRelease(OTHER_CALL_ID);
         java.net.Socket socket =
                 switches.get(1).connections.get(switches.get(1).connections.size() - 1);
         new ReceivedMessage(socket, "", CALL_ID, "").finish(16, "");
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -285,6 +285,11 @@
                     body));
         }
 
+        /** Answers a BYE of the controller. */
+        CallerConnection acknowledgeRelease(String callId) throws IOException {
+            return send("SIP/2.0 200 OK\r\nCall-ID: " + callId + "\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+        }
+
         static String message(String method, String callId, String extraHeaders, String body) {
             return method + " sip:00000000000000bb@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + callId
                     + "\r\nCSeq: 1 " + method + "\r\n" + extraHeaders + "Content-Length: "
--- a/src/test/java/martenslip/platform/WriteRaceTest.java
+++ b/src/test/java/martenslip/platform/WriteRaceTest.java
@@ -216,7 +216,7 @@
         connection.send(CallerConnection.message("ACK", callId, "", ""));
         start.finish(16, "");
         assertTrue(connection.next().startsWith("BYE "));
-        connection.send("SIP/2.0 200 OK\r\nCall-ID: " + callId + "\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+        connection.acknowledgeRelease(callId);
         switchStandIn.next("FINISHED");
     }
 
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -1,6 +1,7 @@
 package martenslip.platform.switchconnection;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -139,4 +140,24 @@
         release.run();
         assertEquals(events, List.of("connection ended", "released late " + TAG + " 16"));
     }
+
+    /**
+     * Guards against a service that says it is ready while the routing module knows no circuit of a group: the first
+     * load report may come on the connection that was opened second, which then becomes the primary one.
+     */
+    @Test(timeOut = 30_000)
+    public void aGroupsStateIsKnownOnlyOnceItHasBeenReported() throws Exception {
+        Socket first = listenSocket.accept();
+        Socket second = listenSocket.accept();
+        runTasks(2);
+        assertFalse(connections.allGroupStatesReported());
+        write(second, LOAD);
+        runTasks(1);
+        assertEquals(events, List.of("load"));
+        assertTrue(connections.allGroupStatesReported());
+        write(first, LOAD);
+        write(second, LOAD);
+        runTasks(1);
+        assertEquals(events, List.of("load", "load"), "from then on only the primary connection counts");
+    }
 }
