Declare a switch dead after 4 s of silence where it was never heard of

Callers could see: a switch vanished before the process started; silence counted from the start only, so their release came 6.3 to 7.3 s after that, over 8 s after the end. Change: a switch that gave no sign of life in this process is declared dead after 4 s and a failed probe. The test of the usual 6.3 s gives the monitor its sign of life first; a new one holds the 4 s (driven time).

--- a/src/main/java/martenslip/liveness/LivenessMonitor.java
+++ b/src/main/java/martenslip/liveness/LivenessMonitor.java
@@ -26,16 +26,22 @@
     static final Span PROBE_INTERVAL = Span.ofMillis(1000);
     /** Below the 8 s by the time that a check, the connect timeout and the transport of the release may take. */
     static final Span DEAD_AFTER = Span.ofMillis(6300);
+    /**
+     * For a switch that never gave a sign of life: it may have disappeared before this monitor was created, with
+     * contacts that are over since.
+     */
+    static final Span NEVER_HEARD_DEAD_AFTER = Span.ofMillis(4000);
     /** A switch that has left the list is not probed; it reports nothing more. */
     static final Span UNLISTED_DEAD_AFTER = Span.ofMillis(3000);
 
     private Moment lastSignalAt;
     private Moment probedAt;
+    private boolean heard;
     private boolean probeFailed;
     private boolean listed = true;
     private boolean declaredDead;
 
-    /** Starts as if the switch had just given a sign of life. */
+    /** The silence of the switch counts from here on. */
     public LivenessMonitor(Moment now) {
         lastSignalAt = now;
     }
@@ -43,6 +49,7 @@
     /** The switch has sent something or accepted a connection. */
     public void signalReceived(Moment now) {
         lastSignalAt = now;
+        heard = true;
         probedAt = null;
         probeFailed = false;
         declaredDead = false;
@@ -61,8 +68,9 @@
     /** The action due now. A returned {@code PROBE} counts as sent, and each silence is declared dead only once. */
     public Action check(Moment now) {
         Span silence = now.since(lastSignalAt);
+        Span deadAfter = heard ? DEAD_AFTER : NEVER_HEARD_DEAD_AFTER;
         boolean dead =
-                listed ? probeFailed && !DEAD_AFTER.longerThan(silence) : !UNLISTED_DEAD_AFTER.longerThan(silence);
+                listed ? probeFailed && !deadAfter.longerThan(silence) : !UNLISTED_DEAD_AFTER.longerThan(silence);
         if (dead && !declaredDead) {
             declaredDead = true;
             return Action.DECLARE_DEAD;
--- a/src/test/java/martenslip/liveness/LivenessMonitorTest.java
+++ b/src/test/java/martenslip/liveness/LivenessMonitorTest.java
@@ -35,10 +35,19 @@
 
     @Test
     public void vanishedSwitchIsDeclaredDeadInTime() {
-        double deadAt = declaredDeadAt(new LivenessMonitor(at(0)), false, 20);
+        LivenessMonitor heardOnce = new LivenessMonitor(at(0));
+        heardOnce.signalReceived(at(0));
+        double deadAt = declaredDeadAt(heardOnce, false, 20);
         assertTrue(deadAt > 6 && deadAt < 7.3, "declared dead at " + deadAt);
     }
 
+    /** It may have vanished seconds before this process started, and its contacts' callers are told within 8 s. */
+    @Test
+    public void aSwitchThatWasNeverHeardOfIsDeclaredDeadEarlier() {
+        double deadAt = declaredDeadAt(new LivenessMonitor(at(0)), false, 20);
+        assertTrue(deadAt > 3.5 && deadAt < 5, "declared dead at " + deadAt);
+    }
+
     @Test
     public void silentSwitchThatAnswersProbesIsAlive() {
         assertEquals(declaredDeadAt(new LivenessMonitor(at(0)), true, 60), -1.0);
