End a connection whose reading thread dies of an error

Seen: a StackOverflowError while Jackson's classes were loaded on a small stack ended the reading thread of a new test; the connection stayed open and swallowed what came. In service the parser is loaded before, so it was not seen there. Change: stack overflow, memory and linkage errors end the connection, as runtime exceptions do. No test of its own.

--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -394,8 +394,8 @@
             close(String.valueOf(e.getMessage()));
         } catch (InterruptedException e) {
             close("stopped");
-        } catch (RuntimeException e) {
-            // A programming error with one message ends this connection only.
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
+            // A fault with one message ends this connection only. Open without a reader, it would swallow what comes.
             close("fault: " + e);
         }
     }
