Count a caller's BYE, answers and naming read before its connection ended

The twin of the switches' fault: a message that was read whole was dropped where another thread had removed its connection meanwhile. A BYE lost so leaves the circuit held; a naming lost so leaves a contact that nobody releases. Test: CallerConnectionsTest#whatWasReadBefore...; with the late messages dropped as before it fails.

--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -359,6 +359,8 @@
             if (caller != null) {
                 caller.lastReceivedNs = System.nanoTime();
                 handleMessage(caller, message);
+            } else {
+                handleLateMessage(connection.id(), message);
             }
         }
 
@@ -386,9 +388,7 @@
         }
         long connectionId = caller.connection.id();
         if (message instanceof Response response) {
-            if (response.headers().first("CSeq").endsWith("BYE")) {
-                listener.releaseAcknowledged(response.callId());
-            }
+            releaseAnswered(response);
             return;
         }
         Request request = (Request) message;
@@ -412,6 +412,49 @@
         }
     }
 
+    /**
+     * Handles a message that was read whole before its connection ended and arrives here after that: any thread may
+     * notice the end first. Nothing can be answered any more, but an established contact belongs to no connection, so
+     * its caller's BYE, acknowledgements and naming count.
+     */
+    private void handleLateMessage(long connectionId, byte[] bytes) throws InterruptedException {
+        ParseResult parsed = MessageParser.parseMinimal(bytes, bytes.length);
+        if (!parsed.isValid()) {
+            return;
+        }
+        if (parsed.message() instanceof Response response) {
+            releaseAnswered(response);
+            return;
+        }
+        Request request = (Request) parsed.message();
+        switch (request.method()) {
+            case "BYE", "ACK" -> listener.requestReceived(connectionId, request);
+            case "INVITE" -> handleLateInvite(connectionId, request);
+            default -> drops.increment("message after its connection");
+        }
+    }
+
+    private void handleLateInvite(long connectionId, Request invite) throws InterruptedException {
+        try {
+            SetUpRequest request =
+                    setUpParser.parse(connectionId, invite, new Moment(System.nanoTime()), new CallerCancellation());
+            if (request.establishedSwitch() != null) {
+                listener.setUpReceived(request);
+                return;
+            }
+        } catch (SetUpParser.InvalidSetUpException e) {
+            drops.increment("wrong", e.getMessage());
+            return;
+        }
+        drops.increment("message after its connection");
+    }
+
+    private void releaseAnswered(Response response) throws InterruptedException {
+        if (response.headers().first("CSeq").endsWith("BYE")) {
+            listener.releaseAcknowledged(response.callId());
+        }
+    }
+
     private void handleInvite(CallerConnection caller, Request invite) throws InterruptedException {
         SetUpRequest request;
         CallerCancellation cancellation = new CallerCancellation();
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -37,6 +37,8 @@
             Span.ofMillis(3000),
             Span.ofMillis(500));
     private final LinkedBlockingQueue<SetUpRequest> setUps = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    private CountDownLatch acknowledgementReached;
     private CountDownLatch acknowledgementsReleased;
     private volatile boolean queueFull;
     private AtomicInteger remainingAcceptFailures;
@@ -50,7 +52,9 @@
     @BeforeMethod
     public void open() throws IOException {
         setUps.clear();
+        requests.clear();
         queueFull = false;
+        acknowledgementReached = new CountDownLatch(1);
         acknowledgementsReleased = new CountDownLatch(1);
         remainingAcceptFailures = new AtomicInteger();
         acceptFailsAtTwoConnections = false;
@@ -86,11 +90,12 @@
 
                     @Override
                     public void requestReceived(long connectionId, Request request) {
-                        // Not part of these tests.
+                        requests.add(request.method() + " " + request.callId());
                     }
 
                     @Override
                     public void releaseAcknowledged(String tag) throws InterruptedException {
+                        acknowledgementReached.countDown();
                         // Blocks the reading thread, as the decision thread does when it has no room.
                         acknowledgementsReleased.await();
                     }
@@ -164,6 +169,27 @@
         }
     }
 
+    /** The reading thread has a BYE and a naming in hand while another thread ends the connection. */
+    @Test(timeOut = 30_000)
+    public void whatWasReadBeforeTheConnectionEndedStillCountsForEstablishedContacts() throws Exception {
+        try (Socket caller = connect()) {
+            sendInvite(caller, 1);
+            long connectionId = nextSetUp().connectionId();
+            String answeredBye =
+                    "SIP/2.0 200 OK\r\nCall-ID: 0000000000000009\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n";
+            String bye = "BYE sip:00000000000000aa@net SIP/2.0\r\nCall-ID: 0000000000000002\r\nCSeq: 1 BYE\r\n"
+                    + "Content-Length: 0\r\n\r\n";
+            String naming = "INVITE sip:00000000000000aa@net SIP/2.0\r\nCall-ID: 0000000000000003\r\n"
+                    + "CSeq: 1 INVITE\r\nRouting-Data: at:s-1\r\nContent-Length: 0\r\n\r\n";
+            send(caller, answeredBye + bye + naming);
+            acknowledgementReached.await();
+            callers.disconnect(connectionId, "ended by the test");
+            acknowledgementsReleased.countDown();
+            assertEquals(requests.poll(10, TimeUnit.SECONDS), "BYE 0000000000000002");
+            assertEquals(nextSetUp().establishedSwitch(), "s-1");
+        }
+    }
+
     /** Under heavy load reading threads lagged, and connections were closed with a set-up in them that was not read. */
     @Test
     public void connectionWithUnreadInputIsNotEvicted() throws Exception {
