Keep an unacknowledged FINISH for 15 s, not 4 s

A switch cut off for 6 s and reconnected did not get the FINISH of a contact that its caller had released, and kept the circuit until the contact's own end.

--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -84,8 +84,8 @@
     private static final Span GROUP_STATE_TIMEOUT = Span.ofMillis(150);
 
     private static final Span LIVENESS_CHECK_INTERVAL = Span.ofMillis(500);
-    /** How long an unacknowledged FINISH is kept, to be sent again on the next connection. */
-    private static final Span PENDING_FINISH_LIFETIME = Span.ofMillis(4000);
+    /** How long an unacknowledged FINISH is kept, to be sent again on the next connection; longer than a cut of 6 s. */
+    private static final Span PENDING_FINISH_LIFETIME = Span.ofMillis(15_000);
 
     /** A switch sends the releases it owes on the next connection opened, which may be a probe's. */
     private static final Span PROBE_LINGER = Span.ofMillis(1000);
