--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -93,6 +93,9 @@
 
         volatile long lastReceivedNs;
         volatile boolean hasSentValidMessage;
+        /** Its caller has answered a BYE, so it reads what is sent. */
+        volatile boolean hasAnsweredRelease;
+
         int invalidMessages;
 
         CallerConnection(Connection connection) {
@@ -181,8 +184,9 @@
     }
 
     /**
-     * Returns the id of the connection with the most recent input among those that sent a valid message: an excluded
-     * one only if there is no other, 0 if there is none.
+     * Returns the id of a connection that sent a valid message, 0 if there is none. Preferred are those that are not
+     * excluded, among them those whose caller has answered a release, and among these the one with the most recent
+     * input.
      */
     public long otherConnection(Set<Long> excludedIds) {
         CallerConnection best = null;
@@ -196,8 +200,13 @@
 
     private static boolean isPreferred(CallerConnection candidate, CallerConnection best, Set<Long> excludedIds) {
         boolean isExcluded = excludedIds.contains(candidate.connection.id());
-        boolean isBestExcluded = excludedIds.contains(best.connection.id());
-        return isExcluded == isBestExcluded ? best.lastReceivedNs - candidate.lastReceivedNs < 0 : isBestExcluded;
+        if (isExcluded != excludedIds.contains(best.connection.id())) {
+            return !isExcluded;
+        }
+        if (candidate.hasAnsweredRelease != best.hasAnsweredRelease) {
+            return candidate.hasAnsweredRelease;
+        }
+        return best.lastReceivedNs - candidate.lastReceivedNs < 0;
     }
 
     /** A set-up got its final response: it is no longer open on its connection. */
@@ -388,6 +397,7 @@
         }
         long connectionId = caller.connection.id();
         if (message instanceof Response response) {
+            caller.hasAnsweredRelease = true;
             releaseAnswered(response);
             return;
         }
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -11,6 +11,7 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -190,6 +191,25 @@
         }
     }
 
+    /** Guards against releases sent in vain on young connections one after another (soak of the fleet trial). */
+    @Test
+    public void aReleaseIsSentFirstOnAConnectionWhoseCallerHasAnsweredOneBefore() throws Exception {
+        acknowledgementsReleased.countDown();
+        try (Socket proven = connect()) {
+            sendInvite(proven, 1);
+            long provenId = nextSetUp().connectionId();
+            send(proven, "SIP/2.0 200 OK\r\nCall-ID: 0000000000000009\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+            acknowledgementReached.await();
+            try (Socket young = connect()) {
+                sendInvite(young, 2);
+                long youngId = nextSetUp().connectionId();
+                assertEquals(callers.otherConnection(Set.of()), provenId);
+                assertEquals(callers.otherConnection(Set.of(provenId)), youngId);
+                assertEquals(callers.otherConnection(Set.of(provenId, youngId)), provenId);
+            }
+        }
+    }
+
     /** Under heavy load reading threads lagged, and connections were closed with a set-up in them that was not read. */
     @Test
     public void connectionWithUnreadInputIsNotEvicted() throws Exception {
