End after SIGTERM before the kill that the longest deadline allows

Callers saw: with deadlines of 0.5 s the kill may come 1.2 s after SIGTERM, but the process ended only after 2.0 to 2.6 s; set-ups on the open connections were lost with it. Set-ups taken 0.7 to 1.8 s after SIGTERM could still be open at the kill. Cause: fixed delays for deadlines of 3 s and more.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -40,22 +40,10 @@
     private static final int INBOX_CAPACITY = 4096;
     /** The controller is ready after this time even if some switches have not reported their group states. */
     private static final Span MAX_READY_DELAY = Span.ofMillis(1500);
-    /**
-     * Set-ups that come later than this after SIGTERM are refused. New ones come for 0.6 s after SIGTERM, and may wait
-     * unread where the core is busy; contacts in transit come as long as the process runs. Ending earlier has no
-     * advantage: the platform kills the process 3.7 s after SIGTERM at the earliest.
-     */
-    private static final Span ACCEPT_AFTER_SIGTERM = Span.ofMillis(1800);
-
-    /** From SIGTERM to the first check whether all contacts are answered. */
-    private static final Span MIN_SHUTDOWN_DELAY = Span.ofMillis(2000);
     /** Half of the slack that the platform adds to every time limit on sockets. */
     private static final Span SOCKET_SLACK = Span.ofMillis(25);
 
     private static final Span SHUTDOWN_POLL_INTERVAL = Span.ofMillis(50);
-    /** Well under the 1.7 s that at least remain until the kill when the shutdown begins. */
-    private static final Span CONNECTION_CLOSE_TIMEOUT = Span.ofMillis(600);
-
     private static final Span COUNTS_LOG_INTERVAL = Span.ofMillis(5000);
     /** File descriptors of files and the JVM, the two journal connections, the listener and the peers' socket. */
     private static final int RESERVED_DESCRIPTORS = 28;
@@ -87,6 +75,7 @@
     private final Journal journal;
     private final PeerNoteTransport peerTransport;
     private final Configuration configuration;
+    private final ShutdownSchedule shutdownSchedule;
     private volatile Thread decisionThread;
     private volatile boolean isReady;
     private boolean isShuttingDown;
@@ -113,6 +102,7 @@
         configuration = Configuration.read(file);
         Map<String, String> settings = configuration.settings();
         ContactSettings contactSettings = contactSettings(settings);
+        shutdownSchedule = ShutdownSchedule.forLongestDeadline(contactSettings.maxPatience());
         TransportLimits callerLimits = new TransportLimits(
                 MAX_CALLER_CONNECTIONS,
                 CALLER_FIRST_MESSAGE_TIMEOUT,
@@ -280,8 +270,9 @@
                     log.write(
                             "term",
                             "open=" + contactTable.openCount() + " standing=" + contactTable.establishedCount());
-                    wheel.scheduleAfter(ACCEPT_AFTER_SIGTERM, contactTable::refuseNewContacts);
-                    wheel.scheduleAfter(MIN_SHUTDOWN_DELAY, this::shutDownWhenIdle);
+                    Moment sigtermAt = wheel.now();
+                    wheel.scheduleAfter(shutdownSchedule.refuseAfter(), contactTable::refuseNewContacts);
+                    wheel.scheduleAfter(shutdownSchedule.firstIdleCheckAfter(), () -> shutDownWhenIdle(sigtermAt));
                 }
             });
         } catch (InterruptedException e) {
@@ -289,17 +280,22 @@
         }
     }
 
-    private void shutDownWhenIdle() {
-        if (contactTable.openCount() > 0 || callerConnections.hasUnreadInput()) {
-            wheel.scheduleAfter(SHUTDOWN_POLL_INTERVAL, this::shutDownWhenIdle);
+    private void shutDownWhenIdle(Moment sigtermAt) {
+        boolean isLastMoment =
+                !shutdownSchedule.answerAllAfter().longerThan(wheel.now().since(sigtermAt));
+        if (!isLastMoment && (contactTable.openCount() > 0 || callerConnections.hasUnreadInput())) {
+            wheel.scheduleAfter(SHUTDOWN_POLL_INTERVAL, () -> shutDownWhenIdle(sigtermAt));
             return;
         }
+        contactTable.refuseNewContacts();
+        contactTable.answerOpenContacts();
+        Span closeTimeout = shutdownSchedule.closeTimeout(wheel.now().since(sigtermAt));
         Thread shutdownThread = new Thread(
                 null,
                 () -> {
                     // The decision thread still runs here, so what arrives until a connection is closed is still
                     // handled.
-                    callerConnections.closeGracefully(CONNECTION_CLOSE_TIMEOUT);
+                    callerConnections.closeGracefully(closeTimeout);
                     close();
                     terminated.countDown();
                 },
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -104,6 +104,15 @@
         isRefusingNewContacts = true;
     }
 
+    /** Answers every open contact as failed, as this controller ends before their deadlines. */
+    public void answerOpenContacts() {
+        List<TrackedContact> open = List.copyOf(openContactsById.values());
+        if (!open.isEmpty()) {
+            outbound.log("term", open.size() + " open contacts are answered as failed before the end");
+        }
+        open.forEach(this::answerAsFailed);
+    }
+
     /** Notifies the module, then delivers the notifications that its orders have caused, one at a time. */
     public void notifyController(Consumer<Controller> notification) {
         pendingNotifications.add(notification);
@@ -520,6 +529,10 @@
             return;
         }
         outbound.log("last-word", "the routing module left a contact unanswered until its deadline");
+        answerAsFailed(contact);
+    }
+
+    private void answerAsFailed(TrackedContact contact) {
         outbound.sendToCaller(
                 contact.callerConnectionId,
                 CallerMessages.response(contact.setUpRequest.invite(), 500, "Server Internal Error"));
--- a/src/test/java/martenslip/platform/ProcessSignalsTest.java
+++ b/src/test/java/martenslip/platform/ProcessSignalsTest.java
@@ -14,6 +14,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import martenslip.platform.PlatformStandIn.CallerConnection;
 import martenslip.platform.PlatformStandIn.ReceivedMessage;
@@ -172,6 +175,91 @@
         awaitLogLine("ready");
     }
 
+    /**
+     * With deadlines of 0.5 s the kill may come 1.2 s after SIGTERM. The switches hang and the caller goes on sending on
+     * its open connection: the process has to answer all and to end before the kill.
+     */
+    @Test(timeOut = 60_000)
+    public void withShortDeadlinesAllIsAnsweredAndTheProcessEndsBeforeTheKill() throws Exception {
+        process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        Files.writeString(
+                configurationFile,
+                configuration(journal).replace("\"hard-limit-ns\":9000000000", "\"hard-limit-ns\":500000000"));
+        launch();
+        awaitLogLine("ready");
+        CallerConnection connection = connectCaller();
+        SetUpStream setUps = new SetUpStream(connection);
+        setUps.sendFor(300);
+        signal("TERM");
+        long sigtermNs = System.nanoTime();
+        setUps.sendFor(5000);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        long endMs = (System.nanoTime() - sigtermNs) / 1_000_000;
+        assertTrue(endMs < 1200, "the process ended " + endMs + " ms after SIGTERM");
+        assertEquals(process.exitValue(), 0);
+        assertEquals(
+                setUps.unansweredBefore(50), List.of(), "set-ups without an answer, those crossing the close aside");
+        assertTrue(setUps.answeredCount() > 50, "answered: " + setUps.answeredCount());
+    }
+
+    /** Sends set-ups on one connection, one each 10 ms until it ends, while a thread reads the answers. */
+    private static final class SetUpStream {
+        private final CallerConnection connection;
+        private final Map<String, Long> sentNsById = new ConcurrentHashMap<>();
+        private final Set<String> answeredIds = ConcurrentHashMap.newKeySet();
+        private final Thread reader = new Thread(this::readAnswers, "answers");
+        private volatile long endedNs;
+
+        SetUpStream(CallerConnection connection) {
+            this.connection = connection;
+            reader.start();
+        }
+
+        private void readAnswers() {
+            try {
+                for (String answer = connection.next(); answer != null; answer = connection.next()) {
+                    String id =
+                            answer.substring(answer.indexOf("Call-ID: ") + 9).substring(0, 16);
+                    if (answer.startsWith("SIP/2.0 ") && !answeredIds.add(id)) {
+                        throw new AssertionError("a second answer for " + id);
+                    }
+                }
+            } catch (IOException e) {
+                // The connection has ended.
+            } finally {
+                endedNs = System.nanoTime();
+            }
+        }
+
+        void sendFor(long durationMs) throws Exception {
+            long beganNs = System.nanoTime();
+            for (int i = 0; endedNs == 0 && System.nanoTime() - beganNs < durationMs * 1_000_000; i++) {
+                String id = String.format("%016x", sentNsById.size() + 1);
+                sentNsById.put(id, System.nanoTime());
+                try {
+                    connection.invite(id, "dear", 400, "m=audio");
+                } catch (IOException e) {
+                    break;
+                }
+                reader.join(10);
+            }
+        }
+
+        int answeredCount() {
+            return answeredIds.size();
+        }
+
+        /** The set-ups that were sent this long before the connection ended and got no answer. */
+        List<String> unansweredBefore(long marginMs) throws InterruptedException {
+            reader.join();
+            return sentNsById.entrySet().stream()
+                    .filter(sent -> endedNs - sent.getValue() > marginMs * 1_000_000)
+                    .map(Map.Entry::getKey)
+                    .filter(id -> !answeredIds.contains(id))
+                    .toList();
+        }
+    }
+
     /** Guards against report 038161: a release read before its contact is named must not be lost. */
     @Test(timeOut = 60_000)
     public void aReleaseReadBeforeItsContactIsNamedReachesTheCaller() throws Exception {
