Count a caller's patience from the receipt of its INVITE, not from its handling

Cause: InviteReader gave the module the whole patience when the INVITE was handled. Change: the transport stamps each message as read; the time that an INVITE waited is taken off its patience.

--- a/src/main/java/martenslip/exchange/Contacts.java
+++ b/src/main/java/martenslip/exchange/Contacts.java
@@ -93,7 +93,7 @@
             refuseBeforeOffer(call, refusingNewContacts ? "Closing" : "Too many contacts");
             return;
         }
-        InviteReader.Result result = inviteReader.read(call, handoverStore::nextContactId);
+        InviteReader.Result result = inviteReader.read(call, now(), handoverStore::nextContactId);
         if (result.contact() == null) {
             statistics.refusedBeforeOffer++;
             log.info(now(), "not-a-contact", "status", result.status(), "reason", result.reason());
--- a/src/main/java/martenslip/exchange/InviteReader.java
+++ b/src/main/java/martenslip/exchange/InviteReader.java
@@ -6,6 +6,7 @@
 import martenslip.configuration.ExchangeConfiguration;
 import martenslip.configuration.Skill;
 import martenslip.control.Contact;
+import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.signaling.ExtensionHeaders;
 import martenslip.sip.dialog.UasCall;
@@ -32,8 +33,11 @@
         configuration.groups().values().forEach(group -> groupsByName.put(group.name(), group));
     }
 
-    /** {@code idSupplier} is asked for an id only once the INVITE is found to describe a contact. */
-    Result read(UasCall call, LongSupplier idSupplier) {
+    /**
+     * Reads an INVITE that is handled at the given time. The caller's patience counts from its receipt. {@code
+     * idSupplier} is asked for an id only once the INVITE is found to describe a contact.
+     */
+    Result read(UasCall call, Moment now, LongSupplier idSupplier) {
         Request invite = call.invite();
         try {
             String calledNumber = invite.parsedUri().unescapedUser();
@@ -52,7 +56,11 @@
             }
             int skillIndex = skillIndex(invite);
             Skill configuredSkill = configuration.skills().get(skillIndex);
-            Span patience = patience(invite).atMost(configuredSkill.patience());
+            Span waited = now.since(call.transaction().receivedAt()).atLeast(Span.ZERO);
+            Span patience = patience(invite)
+                    .atMost(configuredSkill.patience())
+                    .minus(waited)
+                    .atLeast(Span.ZERO);
             String retryKind = invite.headers().first(ExtensionHeaders.RETRY_KIND);
             Contact contact = new Contact(
                     idSupplier.getAsLong(),
--- a/src/main/java/martenslip/exchange/WarmUp.java
+++ b/src/main/java/martenslip/exchange/WarmUp.java
@@ -152,7 +152,7 @@
         Message parsed = MessageParser.parse(bytes, bytes.length).message();
         now = now.plus(TIME_STEP);
         timerWheel.advanceTo(now);
-        dialogLayer.transactionLayer().handleEvent(new TransportEvent.MessageReceived(parsed, farHop));
+        dialogLayer.transactionLayer().handleEvent(new TransportEvent.MessageReceived(parsed, farHop, now));
         decider.deliverPendingEvents();
     }
 
--- a/src/main/java/martenslip/sip/transaction/ServerTransaction.java
+++ b/src/main/java/martenslip/sip/transaction/ServerTransaction.java
@@ -1,5 +1,6 @@
 package martenslip.sip.transaction;
 
+import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
@@ -23,6 +24,7 @@
 
     private final Request request;
     private final Hop from;
+    private final Moment receivedAt;
     private Hop responseHop;
     private final boolean isInvite;
     final String key;
@@ -31,12 +33,14 @@
     private Span retransmitInterval;
     private Object attachment;
 
-    ServerTransaction(TransactionLayer layer, String key, Request request, Hop from, Hop responseHop) {
+    ServerTransaction(
+            TransactionLayer layer, String key, Request request, Hop from, Hop responseHop, Moment receivedAt) {
         super(layer);
         this.key = key;
         this.request = request;
         this.from = from;
         this.responseHop = responseHop;
+        this.receivedAt = receivedAt;
         isInvite = request.hasMethod("INVITE");
         state = isInvite ? State.PROCEEDING : State.TRYING;
         retransmitInterval = layer.timers.t1();
@@ -52,6 +56,11 @@
         return from;
     }
 
+    /** When the last byte of the request was read; a request may wait for its thread. */
+    public Moment receivedAt() {
+        return receivedAt;
+    }
+
     /** The current state. */
     public State state() {
         return state;
--- a/src/main/java/martenslip/sip/transaction/TransactionLayer.java
+++ b/src/main/java/martenslip/sip/transaction/TransactionLayer.java
@@ -5,9 +5,9 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import martenslip.control.Moment;
 import martenslip.eventloop.TimerWheel;
 import martenslip.sip.message.InvalidValueException;
-import martenslip.sip.message.Message;
 import martenslip.sip.message.Request;
 import martenslip.sip.message.Response;
 import martenslip.sip.message.Via;
@@ -138,7 +138,7 @@
     /** Handles a message, an invalid request or the loss of a connection. */
     public void handleEvent(TransportEvent event) {
         if (event instanceof TransportEvent.MessageReceived received) {
-            handleMessage(received.message(), received.from());
+            handleMessage(received);
         } else if (event instanceof TransportEvent.InvalidRequest invalid) {
             drops.increment("wrong request answered " + invalid.status());
             refuseStateless(invalid.request(), invalid.status(), invalid.reasonPhrase(), invalid.from());
@@ -150,12 +150,12 @@
         }
     }
 
-    private void handleMessage(Message message, Hop from) {
+    private void handleMessage(TransportEvent.MessageReceived received) {
         try {
-            if (message instanceof Response response) {
-                handleResponse(response, from);
-            } else if (message instanceof Request request) {
-                handleRequest(request, from);
+            if (received.message() instanceof Response response) {
+                handleResponse(response, received.from());
+            } else if (received.message() instanceof Request request) {
+                handleRequest(request, received.from(), received.receivedAt());
             }
         } catch (InvalidValueException e) {
             drops.increment("unreadable value");
@@ -172,7 +172,7 @@
         }
     }
 
-    private void handleRequest(Request request, Hop from) throws InvalidValueException {
+    private void handleRequest(Request request, Hop from, Moment receivedAt) throws InvalidValueException {
         if (request.hasMethod("ACK")) {
             ServerTransaction invite = serverTransactions.get(serverKey(request, "INVITE"));
             if (invite != null && invite.absorbsAck()) {
@@ -194,7 +194,7 @@
             return;
         }
         ServerTransaction transaction =
-                new ServerTransaction(this, key, request, from, responseDestination(request, from));
+                new ServerTransaction(this, key, request, from, responseDestination(request, from), receivedAt);
         serverTransactions.put(key, transaction);
         if (request.hasMethod("CANCEL")) {
             handleCancel(transaction);
@@ -281,7 +281,7 @@
             return null;
         }
         ServerTransaction transaction =
-                new ServerTransaction(this, key, invite, from, responseDestination(invite, from));
+                new ServerTransaction(this, key, invite, from, responseDestination(invite, from), timerWheel.now());
         serverTransactions.put(key, transaction);
         return transaction;
     }
--- a/src/main/java/martenslip/sip/transport/Transport.java
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import martenslip.control.Moment;
 import martenslip.sip.message.InvalidValueException;
 import martenslip.sip.message.Message;
 import martenslip.sip.message.MessageParser;
@@ -292,7 +293,7 @@
             recordSource(request, from);
         }
         if (parsed.isValid()) {
-            return new TransportEvent.MessageReceived(message, from);
+            return new TransportEvent.MessageReceived(message, from, new Moment(System.nanoTime()));
         }
         if (parsed.isAnswerable()) {
             return new TransportEvent.InvalidRequest((Request) message, parsed.status(), parsed.fault(), from);
--- a/src/test/java/martenslip/exchange/SimulatedExchange.java
+++ b/src/test/java/martenslip/exchange/SimulatedExchange.java
@@ -524,7 +524,7 @@
                 .get(inFlight.receiverPort)
                 .dialogLayer
                 .transactionLayer()
-                .handleEvent(new TransportEvent.MessageReceived(message, hop(inFlight.senderPort)));
+                .handleEvent(new TransportEvent.MessageReceived(message, hop(inFlight.senderPort), timerWheel.now()));
         decider.deliverPendingEvents();
     }
 
@@ -554,6 +554,11 @@
 
     /** Passes bytes from an endpoint to the exchange as the socket reader does. Returns true if they are a request. */
     boolean receive(byte[] bytes, int senderPort) {
+        return receive(bytes, senderPort, timerWheel.now());
+    }
+
+    /** As {@link #receive(byte[], int)}, for bytes that were read earlier and have waited for their thread. */
+    boolean receive(byte[] bytes, int senderPort, Moment receivedAt) {
         ParseResult result = MessageParser.parse(bytes, bytes.length);
         if (result.message() == null || result.status() != 0 && !(result.message() instanceof Request)) {
             return false;
@@ -567,13 +572,17 @@
                 .transactionLayer()
                 .handleEvent(
                         result.status() == 0
-                                ? new TransportEvent.MessageReceived(result.message(), hop(senderPort))
+                                ? new TransportEvent.MessageReceived(result.message(), hop(senderPort), receivedAt)
                                 : new TransportEvent.InvalidRequest(
                                         (Request) result.message(), result.status(), result.fault(), hop(senderPort)));
         decider.deliverPendingEvents();
         return result.message() instanceof Request;
     }
 
+    Moment nowMinusMillis(int durationMs) {
+        return timerWheel.now().plus(Span.ofMillis(-durationMs));
+    }
+
     void advanceMillis(int durationMs) {
         for (int i = 0; i < durationMs; i += 5) {
             nowMs += 5;
--- a/src/test/java/martenslip/sip/dialog/DialogLayerTest.java
+++ b/src/test/java/martenslip/sip/dialog/DialogLayerTest.java
@@ -235,7 +235,8 @@
                 .transactionLayer()
                 .handleEvent(new TransportEvent.MessageReceived(
                         MessageParser.parse(bytes, bytes.length).message(),
-                        pair.startCall().uacCall.hop()));
+                        pair.startCall().uacCall.hop(),
+                        pair.timerWheel.now()));
         return pair.sentMessages.stream()
                 .filter(line -> line.startsWith("<"))
                 .reduce((a, b) -> b)
@@ -300,7 +301,9 @@
             pair.uasLayer
                     .transactionLayer()
                     .handleEvent(new TransportEvent.MessageReceived(
-                            MessageParser.parse(bytes, bytes.length).message(), pair.uacCall.hop()));
+                            MessageParser.parse(bytes, bytes.length).message(),
+                            pair.uacCall.hop(),
+                            pair.timerWheel.now()));
             assertEquals(pair.sentMessages.get(0), row[1], row[0]);
         }
     }
--- a/src/test/java/martenslip/sip/dialog/UserAgentPair.java
+++ b/src/test/java/martenslip/sip/dialog/UserAgentPair.java
@@ -77,7 +77,8 @@
                                     .handleEvent(new TransportEvent.MessageReceived(
                                             MessageParser.parse(bytes, bytes.length)
                                                     .message(),
-                                            hop(isUas))));
+                                            hop(isUas),
+                                            timerWheel.now())));
                 }
                 return true;
             }
