--- a/src/main/java/martenslip/liveness/LivenessMonitor.java
+++ b/src/main/java/martenslip/liveness/LivenessMonitor.java
@@ -65,6 +65,14 @@
         this.listed = listed;
     }
 
+    /**
+     * Whether the switch has been declared dead and has given no sign of life since. A contact that a caller names there
+     * meanwhile is over too.
+     */
+    public boolean isDeclaredDead() {
+        return declaredDead;
+    }
+
     /** The action due now. A returned {@code PROBE} counts as sent, and each silence is declared dead only once. */
     public Action check(Moment now) {
         Span silence = now.since(lastSignalAt);
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -236,6 +236,8 @@
                 endpoints.remove(endpoint.id);
                 return;
             }
+        } else if (endpoint.liveness.isDeclaredDead() && listener.hasEstablishedContactsAt(endpoint.id)) {
+            listener.processEnded(endpoint.id);
         } else if (action == LivenessMonitor.Action.PROBE && openConnection(endpoint)) {
             endpoint.connections.get(endpoint.connections.size() - 1).probe = true;
         }
--- a/src/test/java/martenslip/liveness/LivenessMonitorTest.java
+++ b/src/test/java/martenslip/liveness/LivenessMonitorTest.java
@@ -4,6 +4,7 @@
 import static martenslip.liveness.LivenessMonitor.Action.NONE;
 import static martenslip.liveness.LivenessMonitor.Action.PROBE;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import martenslip.control.Moment;
@@ -48,6 +49,19 @@
         assertTrue(deadAt > 3.5 && deadAt < 5, "declared dead at " + deadAt);
     }
 
+    /** A caller may name a contact at a switch that was declared dead before. */
+    @Test
+    public void aDeadSwitchStaysDeadUntilItsNextSignOfLife() {
+        LivenessMonitor silent = new LivenessMonitor(at(0));
+        assertFalse(silent.isDeclaredDead());
+        double deadAt = declaredDeadAt(silent, false, 20);
+        assertTrue(silent.isDeclaredDead());
+        silent.check(at(deadAt + 10));
+        assertTrue(silent.isDeclaredDead());
+        silent.signalReceived(at(deadAt + 11));
+        assertFalse(silent.isDeclaredDead());
+    }
+
     @Test
     public void silentSwitchThatAnswersProbesIsAlive() {
         assertEquals(declaredDeadAt(new LivenessMonitor(at(0)), true, 60), -1.0);
