--- a/src/test/java/martenslip/platform/contact/ContactTableHarness.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableHarness.java
@@ -92,6 +92,26 @@
                 new CallerCancellation());
     }
 
+    /** A set-up by which a caller names a contact that is established already. */
+    static SetUpRequest namingRequest(long connectionId, int contactNumber) {
+        return new SetUpRequest(
+                connectionId,
+                request("INVITE", contactNumber),
+                tag(contactNumber),
+                "00000000000000aa",
+                0,
+                new Moment(0),
+                Span.ZERO,
+                0,
+                -1,
+                1,
+                false,
+                false,
+                "s-1",
+                "",
+                new CallerCancellation());
+    }
+
     ContactTableHarness advanceToMs(double timeMs) {
         wheel.advanceTo(new Moment(Span.ofMillis(timeMs).ns()));
         return this;
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -2,6 +2,7 @@
 
 import static martenslip.platform.contact.ContactTableHarness.SWITCH_CONNECTION_ID;
 import static martenslip.platform.contact.ContactTableHarness.SWITCH_ID;
+import static martenslip.platform.contact.ContactTableHarness.namingRequest;
 import static martenslip.platform.contact.ContactTableHarness.request;
 import static martenslip.platform.contact.ContactTableHarness.setUpRequest;
 import static martenslip.platform.contact.ContactTableHarness.tag;
@@ -454,26 +455,6 @@
         assertEquals(contactTable.establishedCount(), 1);
     }
 
-    /** A set-up by which a caller names a contact that is established already. */
-    private static SetUpRequest namingRequest(long connectionId, int contactNumber) {
-        return new SetUpRequest(
-                connectionId,
-                request("INVITE", contactNumber),
-                tag(contactNumber),
-                "00000000000000aa",
-                0,
-                new Moment(0),
-                Span.ZERO,
-                0,
-                -1,
-                1,
-                false,
-                false,
-                "s-1",
-                "",
-                new CallerCancellation());
-    }
-
     /** Guards against report 038161: the end arrives before the contact is known. */
     @Test
     public void aReleaseThatPrecedesTheNamingIsPassedOnAtTheNaming() {
--- a/src/test/java/martenslip/platform/contact/RestartModel.java
+++ b/src/test/java/martenslip/platform/contact/RestartModel.java
@@ -141,22 +141,7 @@
             return;
         }
         named = true;
-        SetUpRequest naming = new SetUpRequest(
-                connectionId,
-                ContactTableHarness.request("INVITE", CONTACT_NUMBER),
-                TAG,
-                "00000000000000aa",
-                0,
-                wheel.now(),
-                Span.ZERO,
-                0,
-                -1,
-                1,
-                false,
-                false,
-                "s-1",
-                "",
-                new CallerCancellation());
+        SetUpRequest naming = ContactTableHarness.namingRequest(connectionId, CONTACT_NUMBER);
         if (switchListed) {
             contactTable.establishedContactReported(naming, SWITCH_ID);
         } else {
