--- a/review/standin/Stage.java
+++ b/review/standin/Stage.java
@@ -659,6 +659,8 @@
 
         volatile long endedAt = -1;
         volatile boolean acknowledges = true;
+        /** Whether a release of a call that this caller does not know is answered (481). */
+        volatile boolean answersUnknown = true;
 
         Caller(String name, int port) throws IOException {
             this(name, port, new ConcurrentHashMap<>());
@@ -685,7 +687,11 @@
                     }
                     if (message.startLine.startsWith("BYE ")) {
                         boolean known = calls.remove(message.callId) != null;
-                        note(name + " gets a release of " + message.callId + " and answers " + (known ? "200" : "481"));
+                        note(name + " gets a release of " + message.callId
+                                + (known ? ", answers 200" : answersUnknown ? ", answers 481" : ", knows no such call"));
+                        if (!known && !answersUnknown) {
+                            continue;
+                        }
                         send("SIP/2.0 " + (known ? "200 OK" : "481 Call/Transaction Does Not Exist")
                                 + "\r\nVia: SIP/2.0/TCP controller\r\nCall-ID: " + message.callId + "\r\nCSeq: "
                                 + message.cseq + "\r\nContent-Length: 0\r\n\r\n");
