--- a/review/2/SilentConnections.java
+++ b/review/2/SilentConnections.java
@@ -21,12 +21,12 @@
     /** Descriptors of the controller, the smallest figure of the pages. */
     private static final int DESCRIPTORS = 256;
     /** Usual callers' connections; callers hold at most a third of the descriptors. */
-    private static final int CALLERS = 70;
+    private static final int CALLERS = 80;
     /** Connections that the bad client opens at once: "by the hundred". */
     private static final int SILENT = 300;
 
-    private static final long SILENT_EVERY_MS = 3000;
-    private static final long DURATION_MS = 45_000;
+    private static final long SILENT_EVERY_MS = 2000;
+    private static final long DURATION_MS = 60_000;
     private static final int WITHIN_MS = 3000;
     /** Later than half a second after its time, or never, an answer is lost; 50 ms of slack. */
     private static final long LOST_AFTER_MS = WITHIN_MS + 550;
--- a/review/standin/Stage.java
+++ b/review/standin/Stage.java
@@ -525,28 +525,53 @@
             return settings.getOrDefault(name, usual);
         }
 
-        /** The settings have the names and the figures of the site kerala-helpdesks. */
         void writeConfiguration() throws IOException {
+            String settings = setting("site", "kerala-helpdesks").equals("rider-hub-lines") ? riderHub() : kerala();
             Files.writeString(
                     file,
                     "{\"name\":\"n" + cell + "\",\"listen\":\"127.0.0.1:" + port
                             + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
                             + sockets + "},\"peers\":[],\"journal\":\"127.0.0.1:" + journal.port() + "\",\"known\":"
-                            + journal.known() + ",\"settings\":{\"classes\":[{\"name\":\"label-status\",\"aim-ns\":"
-                            + "1200000000,\"hard-limit-ns\":9000000000,\"worth\":1.0,\"effect\":\"read_like\",\"stream\":"
-                            + "true},{\"name\":\"pickup-slot\",\"aim-ns\":1200000000,\"hard-limit-ns\":6000000000,"
-                            + "\"worth\":8.0,\"effect\":\"read_like\",\"stream\":true}],\"zones\":[\"kochi\","
-                            + "\"kozhikode\"],\"kinds\":[\"single-core\"],\"me\":" + cell
-                            + ",\"my-zone\":0,\"n-instances\":4,\"discovery\":\"automatic\",\"family-info\":{"
-                            + "\"mean-hold-ns\":[11200000000,5600000000],\"widths\":[1,1],\"home-no\":" + cell
-                            + ",\"topology\":\"meshed\",\"release-ns\":500000000,\"retransmit-ns\":800000000,"
-                            + "\"class-cells\":[]},\"guarantees\":{\"warm-within-ns\":14000000000,\"cold-share\":0.29,"
-                            + "\"fall-multiple\":3.0,\"fall-ns\":1500000000,\"drain-grace-ns\":2000000000,"
-                            + "\"answer-slack-ns\":20000000},\"policy-limits\":{\"send-cap\":5,\"cancel\":true,\"peers\":"
-                            + "false,\"probes\":false,\"max-open\":20000,\"retry-after\":true,\"max-retry-after-ns\":"
-                            + "2000000000,\"parallel-tries\":false,\"connect-timeout-ns\":500000000,\"conn-idle-ns\":"
-                            + setting("conn-idle-ns", "600000000000")
-                            + "},\"report\":{\"fields\":[\"spare\",\"total\",\"allowed\"]},\"round-ns\":5000000}}");
+                            + journal.known() + ",\"settings\":{" + settings
+                            + ",\"zones\":[\"kochi\",\"kozhikode\"],\"kinds\":[\"single-core\"],\"me\":" + cell
+                            + ",\"my-zone\":0,\"n-instances\":4,\"discovery\":\"automatic\",\"round-ns\":5000000}}");
+        }
+
+        private static String classSetting(String name, double aimMs, double patienceMs, double worth) {
+            return "{\"name\":\"" + name + "\",\"aim-ns\":" + Math.round(aimMs * 1e6) + ",\"hard-limit-ns\":"
+                    + Math.round(patienceMs * 1e6) + ",\"worth\":" + worth
+                    + ",\"effect\":\"read_like\",\"stream\":true}";
+        }
+
+        /** The names and the figures of the site kerala-helpdesks. */
+        private String kerala() {
+            return "\"classes\":[" + classSetting("label-status", 1200, 9000, 1) + ","
+                    + classSetting("pickup-slot", 1200, 6000, 8)
+                    + "],\"family-info\":{\"mean-hold-ns\":[11200000000,5600000000],\"widths\":[1,1],\"home-no\":" + cell
+                    + ",\"topology\":\"meshed\",\"release-ns\":500000000,\"retransmit-ns\":800000000,"
+                    + "\"class-cells\":[]},\"guarantees\":{\"warm-within-ns\":14000000000,\"cold-share\":0.29,"
+                    + "\"fall-multiple\":3.0,\"fall-ns\":1500000000,\"drain-grace-ns\":2000000000,"
+                    + "\"answer-slack-ns\":20000000},\"policy-limits\":{\"send-cap\":5,\"cancel\":true,\"peers\":"
+                    + "false,\"probes\":false,\"max-open\":20000,\"retry-after\":true,\"max-retry-after-ns\":"
+                    + "2000000000,\"parallel-tries\":false,\"connect-timeout-ns\":500000000,\"conn-idle-ns\":"
+                    + setting("conn-idle-ns", "600000000000")
+                    + "},\"report\":{\"fields\":[\"spare\",\"total\",\"allowed\"]}";
+        }
+
+        /** The names and the figures of the site rider-hub-lines; no peers and no probes are needed here. */
+        private String riderHub() {
+            return "\"classes\":[" + classSetting("pickup-query", 1500, 9000, 1) + ","
+                    + classSetting("item-video-check", 2500, 9000, 2) + "," + classSetting("doorstep-hold", 1200, 6000, 8)
+                    + "],\"family-info\":{\"mean-hold-ns\":[10600000000,10600000000,5300000000],\"widths\":[1,4,1],"
+                    + "\"home-no\":" + cell
+                    + ",\"topology\":\"meshed\",\"release-ns\":300000000,\"retransmit-ns\":800000000,"
+                    + "\"class-cells\":[]},\"guarantees\":{\"warm-within-ns\":15000000000,\"cold-share\":0.28,"
+                    + "\"fall-multiple\":2.0,\"fall-ns\":1000000000,\"drain-grace-ns\":500000000,"
+                    + "\"answer-slack-ns\":20000000},\"policy-limits\":{\"send-cap\":5,\"cancel\":true,\"peers\":"
+                    + "false,\"probes\":false,\"max-open\":20000,\"retry-after\":true,\"max-retry-after-ns\":"
+                    + "2000000000,\"parallel-tries\":false,\"connect-timeout-ns\":500000000,\"conn-idle-ns\":"
+                    + setting("conn-idle-ns", "600000000000")
+                    + "},\"report\":{\"fields\":[\"spare\",\"total\",\"depth\",\"allowed\"]}";
         }
 
         /** Starts the process and waits until it passes the front's test. */
