--- a/review/standin/Stage.java
+++ b/review/standin/Stage.java
@@ -193,6 +193,8 @@
     final class Link {
         final Socket socket;
         final Switch owner;
+        /** Of no further use: what the switch sends never arrives, though the connection stays open. */
+        volatile boolean mute;
 
         Link(Socket socket, Switch owner) {
             this.socket = socket;
@@ -200,6 +202,10 @@
         }
 
         synchronized boolean send(String line) {
+            if (mute) {
+                trace(owner.id + " sends in vain " + line);
+                return true;
+            }
             try {
                 socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
                 trace(owner.id + " sends " + line);
@@ -315,6 +321,9 @@
         private void sendState(Link link) {
             try {
                 synchronized (link) {
+                    if (link.mute) {
+                        return;
+                    }
                     link.socket
                             .getOutputStream()
                             .write(("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:" + free() + ";x1:" + size
