SwitchConnections: connection, endpoint and pending FINISH messages in files of their own

No change of behaviour: the file held three nested classes and the bounds of what is sent again beside the connections' life cycle. PendingFinishes now owns count and lifetime in one place.

--- /dev/null
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
@@ -0,0 +1,30 @@
+package martenslip.platform.switchconnection;
+
+import java.util.concurrent.atomic.AtomicReference;
+import martenslip.control.Moment;
+import martenslip.sip.transport.Connection;
+
+/** One connection to a switch. Belongs to the decision thread but for the fields that are marked otherwise. */
+final class SwitchConnection {
+    final Connection transportConnection;
+    final SwitchEndpoint endpoint;
+    /** Opened only to check that the switch is alive; retired some time after it is established. */
+    boolean probe;
+    /** This side of the stream has ended; what the switch still sends is handled. */
+    boolean retiring;
+
+    boolean established;
+    Moment establishedAt;
+    /** The connection whose LOAD messages count; read by the reading threads. */
+    volatile boolean primary;
+    /** The newest LOAD that was read and not yet handled, or that is kept while another connection is primary. */
+    final AtomicReference<byte[]> latestLoad = new AtomicReference<>();
+
+    /** Written by the reading thread; 0 until something was read. */
+    volatile long lastReadNs;
+
+    SwitchConnection(Connection transportConnection, SwitchEndpoint endpoint) {
+        this.transportConnection = transportConnection;
+        this.endpoint = endpoint;
+    }
+}
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -3,14 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import martenslip.control.Moment;
 import martenslip.control.Span;
@@ -84,73 +81,15 @@
     private static final Span GROUP_STATE_TIMEOUT = Span.ofMillis(150);
 
     private static final Span LIVENESS_CHECK_INTERVAL = Span.ofMillis(500);
-    /** How long an unacknowledged FINISH is kept, to be sent again on the next connection; longer than a cut of 6 s. */
-    private static final Span PENDING_FINISH_LIFETIME = Span.ofMillis(15_000);
-
     /** A switch sends the releases it owes on the next connection opened, which may be a probe's. */
     private static final Span PROBE_LINGER = Span.ofMillis(1000);
 
     /** How long a retired probe waits for the switch to end its side too. */
     private static final Span RETIRE_TIMEOUT = Span.ofMillis(1000);
 
-    private static final int MAX_PENDING_FINISHES = 2048;
     /** How long closing waits for the queued messages of one connection to be written. */
     private static final Span FLUSH_TIMEOUT = Span.ofMillis(100);
 
-    private static final class SwitchConnection {
-        final Connection transportConnection;
-        final SwitchEndpoint endpoint;
-        /** Opened only to check that the switch is alive; retired some time after it is established. */
-        boolean probe;
-        /** This side of the stream has ended; what the switch still sends is handled. */
-        boolean retiring;
-
-        boolean established;
-        Moment establishedAt;
-        /** The connection whose LOAD messages count; read by the reading threads. */
-        volatile boolean primary;
-        /** The newest LOAD that was read and not yet handled, or that is kept while another connection is primary. */
-        final AtomicReference<byte[]> latestLoad = new AtomicReference<>();
-
-        volatile long lastReadNs;
-
-        SwitchConnection(Connection transportConnection, SwitchEndpoint endpoint) {
-            this.transportConnection = transportConnection;
-            this.endpoint = endpoint;
-        }
-    }
-
-    /** A FINISH that the switch has not acknowledged. */
-    private record PendingFinish(int cause, Moment queuedAt) {}
-
-    private static final class SwitchEndpoint {
-        final long id;
-        final InetSocketAddress address;
-        final List<SwitchConnection> connections = new ArrayList<>();
-        /** By tag, oldest first. */
-        final Map<String, PendingFinish> pendingFinishes = new LinkedHashMap<>();
-
-        /** Whether the listener has the state of the switch's group; read by the reading threads. */
-        volatile boolean groupStateReported;
-
-        boolean listed = true;
-        boolean draining;
-        /** Listed and not draining; read by the writing threads. */
-        volatile boolean acceptsStarts = true;
-
-        Span retryPause = Span.ZERO;
-        boolean retryScheduled;
-        boolean connectFailed;
-        final LivenessMonitor liveness;
-        long lastReadNs;
-
-        SwitchEndpoint(long id, InetSocketAddress address, Moment now) {
-            this.id = id;
-            this.address = address;
-            liveness = new LivenessMonitor(now);
-        }
-    }
-
     private final TransportLimits limits;
     private final Supplier<Socket> socketFactory;
     private final ConnectionThreadPool threadPool;
@@ -387,17 +326,7 @@
             message.completed();
             return;
         }
-        // Ordered by time, oldest first.
-        for (Iterator<PendingFinish> finishes =
-                        endpoint.pendingFinishes.values().iterator();
-                finishes.hasNext(); ) {
-            boolean expired = timerWheel.now().since(finishes.next().queuedAt).longerThan(PENDING_FINISH_LIFETIME);
-            if (!expired && endpoint.pendingFinishes.size() < MAX_PENDING_FINISHES) {
-                break;
-            }
-            finishes.remove();
-        }
-        endpoint.pendingFinishes.put(tag, new PendingFinish(cause, timerWheel.now()));
+        endpoint.pendingFinishes.add(tag, cause, timerWheel.now());
         if (!sendOnAnyConnection(endpoint, connectionId, message)) {
             message.completed();
         }
@@ -488,10 +417,8 @@
         connection
                 .endpoint
                 .pendingFinishes
-                .values()
-                .removeIf(finish -> timerWheel.now().since(finish.queuedAt).longerThan(PENDING_FINISH_LIFETIME));
-        connection.endpoint.pendingFinishes.forEach(
-                (tag, finish) -> connection.transportConnection.send(SwitchMessage.encodeFinish(tag, finish.cause)));
+                .unexpired(timerWheel.now())
+                .forEach((tag, cause) -> connection.transportConnection.send(SwitchMessage.encodeFinish(tag, cause)));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -0,0 +1,38 @@
+package martenslip.platform.switchconnection;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import martenslip.control.Moment;
+import martenslip.control.Span;
+import martenslip.liveness.LivenessMonitor;
+
+/** One switch, with its connections. Belongs to the decision thread but for the fields that are marked otherwise. */
+final class SwitchEndpoint {
+    final long id;
+    final InetSocketAddress address;
+    /** The first is the primary one. */
+    final List<SwitchConnection> connections = new ArrayList<>();
+
+    final PendingFinishes pendingFinishes = new PendingFinishes();
+
+    /** Whether the listener has the state of the switch's group; read by the reading threads. */
+    volatile boolean groupStateReported;
+
+    boolean listed = true;
+    boolean draining;
+    /** Listed and not draining; read by the writing threads. */
+    volatile boolean acceptsStarts = true;
+
+    Span retryPause = Span.ZERO;
+    boolean retryScheduled;
+    boolean connectFailed;
+    final LivenessMonitor liveness;
+    long lastReadNs;
+
+    SwitchEndpoint(long id, InetSocketAddress address, Moment now) {
+        this.id = id;
+        this.address = address;
+        liveness = new LivenessMonitor(now);
+    }
+}
