--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -439,6 +439,11 @@
             contactTable.switchProcessEnded(switchId, null);
         }
 
+        @Override
+        public void processReplaced(long switchId, Moment newProcessStartedAt) {
+            contactTable.switchProcessReplaced(switchId, newProcessStartedAt);
+        }
+
         @Override
         public boolean hasEstablishedContactsAt(long switchId) {
             return contactTable.hasEstablishedContactsAt(switchId);
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -204,7 +204,7 @@
         TrackedContact contact = new TrackedContact(++lastContactId, request);
         contact.isOpen = false;
         contact.isAcknowledged = true;
-        contact.attempt = new TrackedContact.Attempt(-1, switchId, null, wheel.now());
+        contact.attempt = new TrackedContact.Attempt(TrackedContact.INHERITED, switchId, null, wheel.now());
         contactsByTag.put(contact.tag, contact);
         establishedContacts.add(contact, wheel.now());
         counters.inherited++;
@@ -431,6 +431,14 @@
         establishedContacts.switchProcessEnded(switchId, establishedBefore);
     }
 
+    /**
+     * Another process has the address of a switch: contacts established there before the given moment, or all where it
+     * is null, end without a release of the switch.
+     */
+    public void switchProcessReplaced(long switchId, Moment newProcessStartedAt) {
+        establishedContacts.switchProcessReplaced(switchId, newProcessStartedAt);
+    }
+
     // ---- ends of contacts and attempts
 
     /** Ends the wait for a final answer: it was sent, or the caller has gone. */
@@ -458,7 +466,7 @@
         endReconciliation.contactSettled(
                 contact.tag, new SettledEnd(true, isNormalEnd ? EndCause.NORMAL_CLEARING : EndCause.TEMPORARY_FAILURE));
         TrackedContact.Attempt attempt = contact.attempt;
-        if (attempt.ringNumber < 0) {
+        if (contact.isInherited()) {
             // The module does not know this inherited contact, but the load report is valid.
             if (report.length > 0) {
                 loadReported(attempt.switchId, report);
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -98,8 +98,25 @@
      * only those that were established before it.
      */
     void switchProcessEnded(long switchId, Moment establishedBefore) {
-        List<TrackedContact> ended = contactsMatching(contact -> contact.attempt.switchId == switchId
-                && (establishedBefore == null || contact.establishedAt.before(establishedBefore)));
+        endWithProcess(switchId, contact -> wasEstablishedBefore(contact, establishedBefore));
+    }
+
+    /**
+     * Ends the contacts of a switch whose address another process has. Where it is known when that process started,
+     * those answered since stand there; one that its caller has named stands where the caller says.
+     */
+    void switchProcessReplaced(long switchId, Moment newProcessStartedAt) {
+        endWithProcess(
+                switchId, contact -> contact.isInherited() || wasEstablishedBefore(contact, newProcessStartedAt));
+    }
+
+    private static boolean wasEstablishedBefore(TrackedContact contact, Moment moment) {
+        return moment == null || contact.establishedAt.before(moment);
+    }
+
+    private void endWithProcess(long switchId, Predicate<TrackedContact> isOver) {
+        List<TrackedContact> ended =
+                contactsMatching(contact -> contact.attempt.switchId == switchId && isOver.test(contact));
         for (TrackedContact contact : ended) {
             sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
             contactEnded(contact, RingEndCause.CUT, NO_REPORT);
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -38,6 +38,9 @@
         }
     }
 
+    /** Ring number of a contact that its caller has named as established; the routing module does not know it. */
+    static final int INHERITED = -1;
+
     final long id;
     final String tag;
     final String calledNumber;
@@ -58,4 +61,9 @@
         calledNumber = setUpRequest.calledNumber();
         callerConnectionId = setUpRequest.connectionId();
     }
+
+    /** Whether the contact was taken over as established, as its caller has named it. */
+    boolean isInherited() {
+        return attempt != null && attempt.ringNumber == INHERITED;
+    }
 }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -67,6 +67,12 @@
         /** The switch's process has ended, and with it the contacts established there. */
         void processEnded(long switchId);
 
+        /**
+         * Another process has the switch's address, so the switch's own has ended. Contacts established from
+         * {@code newProcessStartedAt} on, if that is known, stand at the new process.
+         */
+        void processReplaced(long switchId, Moment newProcessStartedAt);
+
         /** Whether any contact is established at the switch. */
         boolean hasEstablishedContactsAt(long switchId);
 
@@ -131,10 +137,7 @@
             endpoints.put(id, endpoint);
             checkLiveness(endpoint);
         }
-        endpoint.listed = true;
-        endpoint.draining = draining;
-        endpoint.acceptsStarts = !draining;
-        endpoint.liveness.setListed(true);
+        endpoint.list(draining);
         openMissingConnections(endpoint);
     }
 
@@ -145,13 +148,52 @@
     public void switchUnlisted(long id) {
         SwitchEndpoint endpoint = endpoints.get(id);
         if (endpoint != null) {
-            endpoint.listed = false;
-            endpoint.acceptsStarts = false;
-            endpoint.liveness.setListed(false);
+            endpoint.unlist();
+        }
+    }
+
+    /**
+     * The process at this address is a listed switch's: those of switches that have left the list and had the address
+     * have ended.
+     *
+     * @param startedAt when the listed switch's process started; null if it is not known
+     */
+    public void addressListed(InetSocketAddress address, Moment startedAt) {
+        List.copyOf(endpoints.values()).stream()
+                .filter(endpoint -> !endpoint.listed && endpoint.address.equals(address))
+                .forEach(endpoint -> replaced(endpoint, startedAt));
+    }
+
+    /** Whether the process of a switch may still run; false for a switch that was never listed. */
+    public boolean mayBeAlive(long id) {
+        SwitchEndpoint endpoint = endpoints.get(id);
+        return endpoint != null && !endpoint.replaced;
+    }
+
+    /** The address of a switch belongs to another process: what the switch's own process held is over. */
+    private void replaced(SwitchEndpoint endpoint, Moment newProcessStartedAt) {
+        if (endpoint.replaced) {
+            return;
+        }
+        listener.log("switch " + endpoint.id + ": another process has " + endpoint.address);
+        endpoint.replaced = true;
+        endpoint.unlist();
+        endpoint.pendingFinishes.clear();
+        listener.processReplaced(endpoint.id, newProcessStartedAt);
+        removeIfUnused(endpoint);
+    }
+
+    /** Contacts may have been established at the new process by way of the old switch: they keep the connections. */
+    private void removeIfUnused(SwitchEndpoint endpoint) {
+        if (endpoint.replaced && !listener.hasEstablishedContactsAt(endpoint.id)) {
+            endpoints.remove(endpoint.id);
+            List.copyOf(endpoint.connections)
+                    .forEach(connection -> connection.transportConnection.close("address of another switch"));
         }
     }
 
     private void checkLiveness(SwitchEndpoint endpoint) {
+        removeIfUnused(endpoint);
         if (endpoints.get(endpoint.id) != endpoint || closing) {
             return;
         }
@@ -407,6 +449,11 @@
         if (connection == null) {
             return;
         }
+        if (connection.endpoint.draining && connection.endpoint.refused) {
+            // A switch that has stopped listening does not begin again: this is the next process at its address.
+            replaced(connection.endpoint, null);
+            return;
+        }
         connection.established = true;
         connection.establishedAt = timerWheel.now();
         connection.endpoint.retryPause = Span.ZERO;
@@ -458,9 +505,8 @@
         listener.connectionEnded(endpoint.id, transportConnection.id(), transportConnection.wasEstablished());
         if (transportConnection.wasRefused()
                 && endpoint.listed
-                && !endpoint.draining
                 && endpoint.connections.stream().noneMatch(other -> other.established)) {
-            listener.processEnded(endpoint.id);
+            connectionRefused(endpoint);
         }
         if (wasPrimary && !endpoint.connections.isEmpty()) {
             makePrimary(endpoint.connections.get(0));
@@ -469,6 +515,15 @@
         scheduleRetry(endpoint);
     }
 
+    /** A switch with no connection left has refused one. */
+    private void connectionRefused(SwitchEndpoint endpoint) {
+        if (endpoint.draining) {
+            endpoint.refused = true;
+        } else {
+            listener.processEnded(endpoint.id);
+        }
+    }
+
     /** Makes a connection the first in its endpoint's list, whose LOAD messages count and which takes set-ups first. */
     private void makePrimary(SwitchConnection connection) {
         List<SwitchConnection> ordered = connection.endpoint.connections;
@@ -483,7 +538,7 @@
      * the primary one, so that a group whose state was received is known to the listener.
      */
     private void reportGroupState(SwitchConnection connection) {
-        if (!isOpen(connection)) {
+        if (!isOpen(connection) || connection.endpoint.replaced) {
             return;
         }
         if (!connection.endpoint.groupStateReported) {
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -21,6 +21,10 @@
 
     boolean listed = true;
     boolean draining;
+    /** Another process has the address. */
+    boolean replaced;
+    /** A connection was refused, while no other was open, since the switch was last listed as not draining. */
+    boolean refused;
     /** Listed and not draining; read by the writing threads. */
     volatile boolean acceptsStarts = true;
 
@@ -35,4 +39,18 @@
         this.address = address;
         liveness = new LivenessMonitor(now);
     }
+
+    void list(boolean draining) {
+        listed = true;
+        this.draining = draining;
+        refused &= draining;
+        acceptsStarts = !draining;
+        liveness.setListed(true);
+    }
+
+    void unlist() {
+        listed = false;
+        acceptsStarts = false;
+        liveness.setListed(false);
+    }
 }
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -13,11 +13,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import martenslip.platform.json.Json;
 
@@ -27,6 +30,10 @@
  */
 final class PlatformStandIn implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
+    private static final long REPORT_INTERVAL_NS = 100_000_000;
+    private static final byte[] LOAD_LINE =
+            "{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n".getBytes(StandardCharsets.UTF_8);
+
     private final List<AutoCloseable> closeables = new CopyOnWriteArrayList<>();
 
     static InetSocketAddress loopback(int port) {
@@ -81,14 +88,15 @@
         final List<String> owedLines = new CopyOnWriteArrayList<>();
 
         volatile long owedLinesDelayMs;
+        /** Connections on which nothing is sent any more, while what comes on them is read. */
+        final Set<Socket> muteConnections = ConcurrentHashMap.newKeySet();
+
         private final ServerSocket listener;
 
         SwitchStandIn(int port) throws IOException {
             listener = listen(port, socket -> {
                 connections.add(socket);
-                socket.getOutputStream()
-                        .write("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n"
-                                .getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream().write(LOAD_LINE);
                 writeOwedLines(socket);
                 BufferedReader reader =
                         new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
@@ -105,6 +113,31 @@
             });
         }
 
+        /** Sends the state of the group on every connection from now on, as a group does whose state changes. */
+        void startReporting() {
+            Thread reporter = new Thread(() -> {
+                while (!listener.isClosed()) {
+                    for (Socket connection : connections) {
+                        reportLoad(connection);
+                    }
+                    LockSupport.parkNanos(REPORT_INTERVAL_NS);
+                }
+            });
+            reporter.setDaemon(true);
+            reporter.start();
+        }
+
+        private void reportLoad(Socket connection) {
+            if (muteConnections.contains(connection)) {
+                return;
+            }
+            try {
+                connection.getOutputStream().write(LOAD_LINE);
+            } catch (IOException e) {
+                connections.remove(connection);
+            }
+        }
+
         /** A release is sent on the next connection opened, as the protocol has it. */
         void oweRelease(String tag, int q850Cause) {
             owedLines.add("{\"verb\":\"FINISH\",\"tag\":\"" + tag + "\",\"opts\":{},\"rc\":" + q850Cause + "}\n");
@@ -150,7 +183,16 @@
         }
 
         void stop() throws IOException {
+            stopListening();
+            resetConnections();
+        }
+
+        /** Refuses further connections; the open ones stay. */
+        void stopListening() throws IOException {
             listener.close();
+        }
+
+        void resetConnections() throws IOException {
             for (Socket connection : connections) {
                 connection.setSoLinger(true, 0);
                 connection.close();
@@ -231,9 +273,14 @@
     }
 
     static String instanceJson(String id, int port, int cell, String lifecycle) {
+        return instanceJson(id, port, cell, lifecycle, 0);
+    }
+
+    /** A switch as the list names it; {@code startedAtMs} is 0 unless it started late. */
+    static String instanceJson(String id, int port, int cell, String lifecycle, long startedAtMs) {
         return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"127.0.0.1:" + port
                 + "\",\"zone\":\"east\",\"machineType\":" + "\"std\",\"cell\":" + cell + ",\"lifecycle\":\"" + lifecycle
-                + "\",\"weight\":1,\"startedAtMs\":0}";
+                + "\",\"weight\":1,\"startedAtMs\":" + startedAtMs + "}";
     }
 
     static String configuration(int journalPort, String... switchListEvents) {
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -99,6 +99,11 @@
             events.add("process ended");
         }
 
+        @Override
+        public void processReplaced(long switchId, Moment newProcessStartedAt) {
+            events.add("process replaced");
+        }
+
         @Override
         public boolean hasEstablishedContactsAt(long switchId) {
             return true;
