--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicReference;
 import martenslip.control.Moment;
+import martenslip.liveness.ConnectionMonitor;
 import martenslip.sip.transport.Connection;
 
 /** One connection to a switch. Belongs to the decision thread but for the fields that are marked otherwise. */
@@ -23,8 +24,21 @@
     /** Written by the reading thread; 0 until something was read. */
     volatile long lastReadNs;
 
+    final ConnectionMonitor monitor = new ConnectionMonitor();
+
     SwitchConnection(Connection transportConnection, SwitchEndpoint endpoint) {
         this.transportConnection = transportConnection;
         this.endpoint = endpoint;
     }
+
+    /** When the connection was established or last brought something. */
+    Moment lastSignal() {
+        Moment lastRead = new Moment(lastReadNs);
+        return lastReadNs == 0 || lastRead.before(establishedAt) ? establishedAt : lastRead;
+    }
+
+    /** Whether set-ups and other messages can be sent on it. */
+    boolean isUsable() {
+        return established && !retiring;
+    }
 }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -204,10 +204,12 @@
                 endpoint.liveness.signalReceived(new Moment(connection.lastReadNs));
             }
         }
-        // A listed switch without established contacts owes no release, so its silence does not matter.
-        LivenessMonitor.Action action = endpoint.listed && !listener.hasEstablishedContactsAt(endpoint.id)
-                ? LivenessMonitor.Action.NONE
-                : endpoint.liveness.check(timerWheel.now());
+        checkConnections(endpoint);
+        // The silence of a listed switch matters where it owes a release or the answer to a test.
+        boolean silenceMatters =
+                !endpoint.listed || listener.hasEstablishedContactsAt(endpoint.id) || endpoint.hasUnansweredTest();
+        LivenessMonitor.Action action =
+                silenceMatters ? endpoint.liveness.check(timerWheel.now()) : LivenessMonitor.Action.NONE;
         if (action == LivenessMonitor.Action.DECLARE_DEAD || !endpoint.listed && endpoint.connections.isEmpty()) {
             listener.log("switch " + endpoint.id + " at " + endpoint.address + " says nothing any more, listed: "
                     + endpoint.listed);
@@ -225,6 +227,25 @@
         timerWheel.scheduleAfter(LIVENESS_CHECK_INTERVAL, () -> checkLiveness(endpoint));
     }
 
+    /** Tests connections that miss what others of the switch bring, and closes those that fail the test. */
+    private void checkConnections(SwitchEndpoint endpoint) {
+        for (SwitchConnection connection : List.copyOf(endpoint.connections)) {
+            if (!connection.isUsable()) {
+                continue;
+            }
+            Moment siblingSignal = endpoint.siblingSignal(connection);
+            switch (connection.monitor.check(timerWheel.now(), connection.lastSignal(), siblingSignal)) {
+                case TEST -> {
+                    drops.increment("switch line tested");
+                    connection.transportConnection.send(SwitchMessage.encodeEcho());
+                }
+                case CLOSE ->
+                    connection.transportConnection.close("leaves a test unanswered while the switch is alive");
+                case NONE -> {}
+            }
+        }
+    }
+
     /**
      * Whether each listed switch has reported the state of its group, or has been connected long enough to have
      * reported it: the switch of the own exchange has no group and reports nothing. Unreachable switches are ignored.
@@ -330,14 +351,10 @@
                 () -> execute(onRevoked));
         // The FINISH of an earlier attempt must not be sent again on a connection established after this START.
         endpoint.pendingFinishes.remove(request.tag());
-        for (boolean wantEstablished : new boolean[] {true, false}) {
-            for (SwitchConnection connection : endpoint.connections) {
-                if (connection.established == wantEstablished
-                        && !connection.retiring
-                        && connection.transportConnection.send(message)) {
-                    connection.probe = false;
-                    return new QueuedMessage(connection.transportConnection.id(), message);
-                }
+        for (SwitchConnection connection : endpoint.connectionsForStart()) {
+            if (connection.transportConnection.send(message)) {
+                connection.probe = false;
+                return new QueuedMessage(connection.transportConnection.id(), message);
             }
         }
         return null;
@@ -369,8 +386,12 @@
             return;
         }
         endpoint.pendingFinishes.add(tag, cause, timerWheel.now());
-        if (!sendOnAnyConnection(endpoint, connectionId, message)) {
+        SwitchConnection sentOn = sendOnAnyConnection(endpoint, connectionId, message);
+        if (sentOn == null) {
             message.completed();
+        } else {
+            // The switch acknowledges it with FINISHED.
+            sentOn.monitor.replyExpected(timerWheel.now());
         }
     }
 
@@ -382,18 +403,18 @@
         }
     }
 
-    /** Sends on the preferred connection, else on an established one; returns false if there is none. */
-    private boolean sendOnAnyConnection(SwitchEndpoint endpoint, long preferredId, OutgoingMessage message) {
+    /** Sends on the preferred connection, else on an established one; returns which, or null if there is none. */
+    private SwitchConnection sendOnAnyConnection(SwitchEndpoint endpoint, long preferredId, OutgoingMessage message) {
         SwitchConnection preferred = connections.get(preferredId);
         if (preferred != null && !preferred.retiring && preferred.transportConnection.send(message)) {
-            return true;
+            return preferred;
         }
         for (SwitchConnection connection : endpoint.connections) {
-            if (connection.established && !connection.retiring && connection.transportConnection.send(message)) {
-                return true;
+            if (connection.isUsable() && connection.transportConnection.send(message)) {
+                return connection;
             }
         }
-        return false;
+        return null;
     }
 
     private final Connection.Listener connectionListener = new Connection.Listener() {
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import martenslip.control.Moment;
 import martenslip.control.Span;
@@ -53,4 +54,26 @@
         acceptsStarts = false;
         liveness.setListed(false);
     }
+
+    /** The connections in the order in which a set-up is to be offered to them. */
+    List<SwitchConnection> connectionsForStart() {
+        return connections.stream()
+                .filter(connection -> !connection.retiring)
+                .sorted(Comparator.comparing((SwitchConnection connection) -> !connection.established)
+                        .thenComparing(connection -> connection.monitor.isTestUnanswered()))
+                .toList();
+    }
+
+    boolean hasUnansweredTest() {
+        return connections.stream().anyMatch(connection -> connection.monitor.isTestUnanswered());
+    }
+
+    /** The latest signal of the other established connections; null if there is none. */
+    Moment siblingSignal(SwitchConnection connection) {
+        return connections.stream()
+                .filter(sibling -> sibling != connection && sibling.established)
+                .map(SwitchConnection::lastSignal)
+                .max(Comparator.naturalOrder())
+                .orElse(null);
+    }
 }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchMessage.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchMessage.java
@@ -21,6 +21,9 @@
     /** Upper bound for a START line without its description; skill names are short. */
     static final int MAX_START_BYTES_WITHOUT_DESCRIPTION = 256;
 
+    /** A test concerns no contact, but a tag always has 16 hex digits. */
+    private static final String TEST_TAG = "0000000000000000";
+
     private static final byte[] LOAD_VERB = "\"LOAD\"".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
 
     /** Whether the line is a LOAD: quotes inside strings are escaped, so the quoted word can only be the verb. */
@@ -106,6 +109,11 @@
         return encode("FINISHED", tag, generator -> {}, generator -> {});
     }
 
+    /** A test of the connection; the switch answers with ECHOED. */
+    static byte[] encodeEcho() {
+        return encode("ECHO", TEST_TAG, generator -> {}, generator -> generator.writeNumberField("rc", 0));
+    }
+
     private interface JsonPart {
         void write(JsonGenerator generator) throws IOException;
     }
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -31,6 +31,8 @@
 final class PlatformStandIn implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
     private static final long REPORT_INTERVAL_NS = 100_000_000;
+    private static final byte[] ECHOED_LINE =
+            "{\"verb\":\"ECHOED\",\"tag\":\"\",\"opts\":{},\"rc\":1}\n".getBytes(StandardCharsets.UTF_8);
     private static final byte[] LOAD_LINE =
             "{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n".getBytes(StandardCharsets.UTF_8);
 
@@ -88,7 +90,9 @@
         final List<String> owedLines = new CopyOnWriteArrayList<>();
 
         volatile long owedLinesDelayMs;
-        /** Connections on which nothing is sent any more, while what comes on them is read. */
+        /** Whether a test (ECHO) is answered, also on mute connections. */
+        volatile boolean answersTests;
+        /** Connections on which no state is reported any more, while what comes on them is read. */
         final Set<Socket> muteConnections = ConcurrentHashMap.newKeySet();
 
         private final ServerSocket listener;
@@ -103,6 +107,9 @@
                 for (String line = reader.readLine(); line != null; line = reader.readLine()) {
                     java.util.Map<?, ?> message =
                             (java.util.Map<?, ?>) Json.parse(line.getBytes(StandardCharsets.UTF_8));
+                    if (answersTests && "ECHO".equals(message.get("verb"))) {
+                        socket.getOutputStream().write(ECHOED_LINE);
+                    }
                     receivedMessages.add(new ReceivedMessage(
                             socket,
                             (String) message.get("verb"),
