SIP over TCP: a connection that leaves a request unanswered is not used for the next one

Transport keeps one connection for each peer for as long as it is open, and a transaction that timed out (timer B or F, RFC 3261 17.1) told nobody that its connection had brought nothing.

Fix: at the timeout of a request without any response the connection is closed if nothing else has arrived on it since the request was sent; the next request opens another. A connection that works and leaves one request out is kept.

--- a/src/main/java/martenslip/exchange/Lane.java
+++ b/src/main/java/martenslip/exchange/Lane.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import martenslip.configuration.ExchangeConfiguration;
+import martenslip.control.Moment;
 import martenslip.eventloop.EventLoop;
 import martenslip.signaling.EventPackageCodec;
 import martenslip.sip.dialog.DialogLayer;
@@ -110,6 +111,11 @@
                 return loop.isFenced() || transport.send(bytes, hop);
             }
 
+            @Override
+            public void requestUnanswered(Hop hop, Moment sentAt) {
+                transport.requestUnanswered(hop, sentAt);
+            }
+
             @Override
             public String sentBy(Hop.Protocol protocol) {
                 return transport.sentBy(protocol);
--- a/src/main/java/martenslip/sip/Endpoint.java
+++ b/src/main/java/martenslip/sip/Endpoint.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import martenslip.control.Moment;
 import martenslip.eventloop.EventLoop;
 import martenslip.eventloop.TimerWheel;
 import martenslip.sip.dialog.DialogLayer;
@@ -125,6 +126,11 @@
                 return transport.send(bytes, to);
             }
 
+            @Override
+            public void requestUnanswered(Hop hop, Moment sentAt) {
+                transport.requestUnanswered(hop, sentAt);
+            }
+
             @Override
             public String sentBy(Hop.Protocol protocol) {
                 return transport.sentBy(protocol);
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -49,6 +49,9 @@
     private long readStartNanos;
     private boolean hasReceivedMessage;
     private volatile boolean handlingInput;
+    /** Time of the last input; 0 before the first. */
+    private volatile long lastReadNanos;
+
     private int socketTimeoutMs;
 
     Connection(
@@ -107,6 +110,11 @@
         }
     }
 
+    /** True if the connection is established and nothing has arrived since the moment, in {@link System#nanoTime}. */
+    boolean isSilentSince(long momentNanos) {
+        return wasEstablished() && (lastReadNanos == 0 || lastReadNanos - momentNanos < 0);
+    }
+
     /** True if the peer refused the connection, which proves that no process listens there. */
     public synchronized boolean wasRefused() {
         return wasRefused;
@@ -376,6 +384,7 @@
                     return;
                 }
                 handlingInput = true;
+                lastReadNanos = System.nanoTime();
                 messageStartNanos = framer.hasPartialMessage() ? messageStartNanos : System.nanoTime();
                 framer.advance(bytesRead);
                 for (byte[] message : nextMessages()) {
--- a/src/main/java/martenslip/sip/transport/Transport.java
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -154,19 +154,32 @@
         }
     }
 
+    /**
+     * Closes the connection to a peer that has left a request unanswered until its timeout, if nothing else has arrived
+     * on it since: it may be open and of no use, and the next request is to go out on another one.
+     */
+    public void requestUnanswered(Hop hop, Moment sentAt) {
+        Connection connection = hop.protocol() == Hop.Protocol.TCP ? find(hop) : null;
+        if (connection != null && connection.isSilentSince(sentAt.ns())) {
+            dropCounter.increment("connection silent");
+            connection.close("requests are left unanswered");
+        }
+    }
+
+    /** The open connection that a message to this hop takes, or null. */
+    private Connection find(Hop to) {
+        return to.connectionId() != 0 ? connections.get(to.connectionId()) : connectionsByPeer.get(to.address());
+    }
+
     private Connection findOrConnect(Hop to) {
-        Connection identified = to.connectionId() != 0 ? connections.get(to.connectionId()) : null;
-        if (identified != null) {
-            return identified;
+        Connection existing = find(to);
+        if (existing != null) {
+            return existing;
         }
         // A hop with a connection identifier means that connection only: nothing may listen on its remote port.
         if (to.connectionId() != 0 || closing) {
             return null;
         }
-        Connection existing = connectionsByPeer.get(to.address());
-        if (existing != null) {
-            return existing;
-        }
         if (connections.size() >= limits.maxConnections()) {
             return null;
         }
