Test a connection to a switch only where it misses a state report or a reply

Cause: the switch of the own exchange reports no state, so whatever its primary connection brought made the other one look behind, and it was sent ECHO every 4 s. Only LOAD comes on all connections, so only a missed LOAD counts now; that the switch is alive is still shown by anything. Any message of a test costs the switch, so fewer are better.

--- a/src/main/java/martenslip/liveness/ConnectionMonitor.java
+++ b/src/main/java/martenslip/liveness/ConnectionMonitor.java
@@ -49,11 +49,12 @@
      * The action due now. A returned {@code TEST} counts as sent.
      *
      * @param lastSignal when this connection was established or last received something
-     * @param siblingSignal the same of the other connections, the latest; null if there is none
+     * @param siblingReport when another connection last received what the peer sends on all of them; null if never
+     * @param siblingSignal when another connection was established or last received anything; null if there is none
      */
-    public Action check(Moment now, Moment lastSignal, Moment siblingSignal) {
+    public Action check(Moment now, Moment lastSignal, Moment siblingReport, Moment siblingSignal) {
         testUnanswered = testedAt != null && lastSignal.before(testedAt);
-        updateSuspicion(lastSignal, siblingSignal);
+        updateSuspicion(lastSignal, siblingReport);
         if (testUnanswered) {
             boolean peerIsAlive = siblingSignal != null && testedAt.before(siblingSignal);
             return peerIsAlive && !TEST_TIMEOUT.longerThan(now.since(testedAt)) ? Action.CLOSE : Action.NONE;
@@ -69,7 +70,7 @@
         return Action.TEST;
     }
 
-    private void updateSuspicion(Moment lastSignal, Moment siblingSignal) {
+    private void updateSuspicion(Moment lastSignal, Moment siblingReport) {
         if (replyExpectedAt != null && !lastSignal.before(replyExpectedAt)) {
             replyExpectedAt = null;
         }
@@ -80,7 +81,7 @@
             return;
         }
         boolean isBehind =
-                siblingSignal != null && siblingSignal.since(lastSignal).longerThan(OVERTAKING_TOLERANCE);
-        suspectSince = replyExpectedAt != null ? replyExpectedAt : isBehind ? siblingSignal : null;
+                siblingReport != null && siblingReport.since(lastSignal).longerThan(OVERTAKING_TOLERANCE);
+        suspectSince = replyExpectedAt != null ? replyExpectedAt : isBehind ? siblingReport : null;
     }
 }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
@@ -23,6 +23,8 @@
 
     /** Written by the reading thread; 0 until something was read. */
     volatile long lastReadNs;
+    /** When the last LOAD was read, written by the reading thread; 0 until then. */
+    volatile long lastLoadNs;
 
     final ConnectionMonitor monitor = new ConnectionMonitor();
 
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -12,6 +12,7 @@
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.eventloop.TimerWheel;
+import martenslip.liveness.ConnectionMonitor;
 import martenslip.liveness.LivenessMonitor;
 import martenslip.platform.contact.SwitchStartRequest;
 import martenslip.sip.transport.Connection;
@@ -233,8 +234,12 @@
             if (!connection.isUsable()) {
                 continue;
             }
-            Moment siblingSignal = endpoint.siblingSignal(connection);
-            switch (connection.monitor.check(timerWheel.now(), connection.lastSignal(), siblingSignal)) {
+            ConnectionMonitor.Action action = connection.monitor.check(
+                    timerWheel.now(),
+                    connection.lastSignal(),
+                    endpoint.siblingReport(connection),
+                    endpoint.siblingSignal(connection));
+            switch (action) {
                 case TEST -> {
                     drops.increment("switch line tested");
                     connection.transportConnection.send(SwitchMessage.encodeEcho());
@@ -426,6 +431,7 @@
             }
             connection.lastReadNs = System.nanoTime();
             if (SwitchMessage.isLoadReport(line)) {
+                connection.lastLoadNs = connection.lastReadNs;
                 // LOAD messages arrive at hundreds a second and only the newest counts: at most one is queued for the
                 // decision thread, and those of other connections are not parsed until their connection is primary.
                 if (connection.latestLoad.getAndSet(line) == null
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -76,4 +76,13 @@
                 .max(Comparator.naturalOrder())
                 .orElse(null);
     }
+
+    /** The latest LOAD of the other connections; null if there is none. A switch sends it on all connections. */
+    Moment siblingReport(SwitchConnection connection) {
+        return connections.stream()
+                .filter(sibling -> sibling != connection && sibling.lastLoadNs != 0)
+                .map(sibling -> new Moment(sibling.lastLoadNs))
+                .max(Comparator.naturalOrder())
+                .orElse(null);
+    }
 }
--- a/src/test/java/martenslip/liveness/ConnectionMonitorTest.java
+++ b/src/test/java/martenslip/liveness/ConnectionMonitorTest.java
@@ -40,7 +40,7 @@
         List<String> actions = new ArrayList<>();
         for (double now = 0.5; now <= end; now += 0.5) {
             Moment siblingSignal = sibling == null ? null : sibling.lastBefore(now);
-            Action action = monitor.check(at(now), own.lastBefore(now), siblingSignal);
+            Action action = monitor.check(at(now), own.lastBefore(now), siblingSignal, siblingSignal);
             if (action != Action.NONE) {
                 actions.add(action + " " + now);
             }
@@ -83,13 +83,21 @@
         assertEquals(actions(STEADY, STEADY, 60), List.of());
     }
 
+    /** What a sibling receives for itself, such as the answer to a set-up, is not missed on this connection. */
+    @Test
+    public void aConnectionThatMissesNoReportIsNotTested() {
+        for (double now = 0.5; now <= 60; now += 0.5) {
+            assertEquals(monitor.check(at(now), at(0), at(0.2), at(now - 0.1)), Action.NONE);
+        }
+    }
+
     /** On a connection that has nothing to say the answers to the tests are all that arrives. */
     @Test
     public void testsOfAQuietConnectionAreBoundedInNumber() {
         Moment lastSignal = at(0);
         int tests = 0;
         for (double now = 0.5; now <= 60; now += 0.5) {
-            Action action = monitor.check(at(now), lastSignal, at(now - 0.1));
+            Action action = monitor.check(at(now), lastSignal, at(now - 0.1), at(now - 0.1));
             assertTrue(action != Action.CLOSE, "closed at " + now);
             if (action == Action.TEST) {
                 tests++;
