Contacts that a new process answered under the old id stand at the new id

Cause: they kept the old id and its connections, so a release on a connection of the new id was taken for another switch's and dropped, and 3 s of quiet, or a reset of the old id's connections, ended them while they lived.

Change: when the list names the new process, contacts answered since its start move to its id on the wire (to the module the ring stays where it was placed), and the old id's connections are closed at once, which drops its FINISH messages too.

ReplacedSwitchTest#contactsOfTheNewProcessOutliveSilenceAndAResetOfItsConnections failed before (BYE after 5.2 s), passes now. contactsOfTheNewProcessAreKept... failed in one run in between: the old switch's answer and the new start lay in one millisecond, the list's precision; the test now lets the clock pass it. ContactTable, interleaving, SwitchConnections, ControllerService and WriteRace tests pass.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -440,8 +440,8 @@
         }
 
         @Override
-        public void processReplaced(long switchId, Moment newProcessStartedAt) {
-            contactTable.switchProcessReplaced(switchId, newProcessStartedAt);
+        public void processReplaced(long switchId, long newSwitchId, Moment startedAt) {
+            contactTable.switchProcessReplaced(switchId, newSwitchId, startedAt);
         }
 
         @Override
--- a/src/main/java/martenslip/platform/SwitchRegistry.java
+++ b/src/main/java/martenslip/platform/SwitchRegistry.java
@@ -130,7 +130,8 @@
         replacedIds.forEach(
                 instanceId -> switchesById.computeIfPresent(instanceId, (id, replaced) -> replaced.asReplaced()));
         // Only now: the ends of contacts at a switch follow the news that it has gone.
-        listedEntries.forEach(entry -> switchConnections.addressListed(entry.address(), startedAt(entry)));
+        listedEntries.forEach(
+                entry -> switchConnections.addressListed(switchesById.get(entry.id()).switchId, startedAt(entry)));
     }
 
     private boolean isListed(String instanceId) {
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -374,7 +374,7 @@
     /** An answer counts only for the attempt in flight, and only if its START has been written. */
     private static boolean isAwaitingAnswerFrom(TrackedContact contact, long switchId) {
         return contact.attempt != null
-                && contact.attempt.switchId == switchId
+                && contact.switchId() == switchId
                 && (contact.attempt.queuedStart == null
                         || contact.attempt.queuedStart.message().isWritten());
     }
@@ -432,11 +432,11 @@
     }
 
     /**
-     * Another process has the address of a switch: contacts established there before the given moment, or all where it
-     * is null, end without a release of the switch.
+     * Another switch's process has the address of a switch: contacts established there before the other's start, or all
+     * where it is null, end without a release of the switch; the others stand at the other switch.
      */
-    public void switchProcessReplaced(long switchId, Moment newProcessStartedAt) {
-        establishedContacts.switchProcessReplaced(switchId, newProcessStartedAt);
+    public void switchProcessReplaced(long switchId, long newSwitchId, Moment startedAt) {
+        establishedContacts.switchProcessReplaced(switchId, newSwitchId, startedAt);
     }
 
     // ---- ends of contacts and attempts
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -37,13 +37,14 @@
 
     /** Whether any contact is established at this switch. */
     boolean hasContactsAt(long switchId) {
-        return contactsByTag.values().stream().anyMatch(contact -> contact.attempt.switchId == switchId);
+        return contactsByTag.values().stream().anyMatch(contact -> contact.switchId() == switchId);
     }
 
     /** Adds a contact that has just been established; its set-up request is no longer kept. */
     void add(TrackedContact contact, Moment now) {
         contact.isEstablished = true;
         contact.establishedAt = now;
+        contact.establishedSwitchId = contact.attempt.switchId;
         contact.setUpRequest = null;
         contactsByTag.put(contact.tag, contact);
     }
@@ -70,7 +71,7 @@
         sendRelease(
                 contact,
                 EndCause.toCaller(q850Cause),
-                () -> outbound.sendFinished(contact.attempt.switchId, switchConnectionId, contact.tag));
+                () -> outbound.sendFinished(contact.switchId(), switchConnectionId, contact.tag));
         contactEnded(contact, EndCause.ofEstablishedEnd(q850Cause), report);
     }
 
@@ -102,12 +103,13 @@
     }
 
     /**
-     * Ends the contacts of a switch whose address another process has. Where it is known when that process started,
-     * those answered since stand there; one that its caller has named stands where the caller says.
+     * Ends the contacts of a switch whose address another switch's process has. Where it is known when that started,
+     * those answered since stand there; one that its caller has named stood where the caller says.
      */
-    void switchProcessReplaced(long switchId, Moment newProcessStartedAt) {
-        endWithProcess(
-                switchId, contact -> contact.isInherited() || wasEstablishedBefore(contact, newProcessStartedAt));
+    void switchProcessReplaced(long switchId, long newSwitchId, Moment startedAt) {
+        endWithProcess(switchId, contact -> contact.isInherited() || wasEstablishedBefore(contact, startedAt));
+        contactsMatching(contact -> contact.switchId() == switchId)
+                .forEach(contact -> contact.establishedSwitchId = newSwitchId);
     }
 
     private static boolean wasEstablishedBefore(TrackedContact contact, Moment moment) {
@@ -116,7 +118,7 @@
 
     private void endWithProcess(long switchId, Predicate<TrackedContact> isOver) {
         List<TrackedContact> ended =
-                contactsMatching(contact -> contact.attempt.switchId == switchId && isOver.test(contact));
+                contactsMatching(contact -> contact.switchId() == switchId && isOver.test(contact));
         for (TrackedContact contact : ended) {
             sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
             contactEnded(contact, RingEndCause.CUT, NO_REPORT);
@@ -134,7 +136,7 @@
 
     private void sendFinish(TrackedContact contact) {
         outbound.sendFinish(
-                contact.attempt.switchId,
+                contact.switchId(),
                 contact.attempt.switchConnectionId(),
                 contact.tag,
                 EndCause.NORMAL_CLEARING,
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -53,6 +53,8 @@
     boolean isEstablished;
     boolean isAcknowledged;
     Moment establishedAt;
+    /** Where the contact stands: another switch than that of its attempt if that has taken its address. */
+    long establishedSwitchId;
 
     TrackedContact(long id, SetUpRequest setUpRequest) {
         this.id = id;
@@ -66,4 +68,9 @@
     boolean isInherited() {
         return attempt != null && attempt.ringNumber == INHERITED;
     }
+
+    /** The switch that the contact's messages are exchanged with; there must be an attempt. */
+    long switchId() {
+        return isEstablished ? establishedSwitchId : attempt.switchId;
+    }
 }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -69,10 +69,10 @@
         void processEnded(long switchId);
 
         /**
-         * Another process has the switch's address, so the switch's own has ended. Contacts established from
-         * {@code newProcessStartedAt} on, if that is known, stand at the new process.
+         * Another switch's process has the switch's address, so the switch's own has ended. Contacts established from
+         * {@code startedAt} on, if that is known, stand at the other switch.
          */
-        void processReplaced(long switchId, Moment newProcessStartedAt);
+        void processReplaced(long switchId, long newSwitchId, Moment startedAt);
 
         /** Whether any contact is established at the switch. */
         boolean hasEstablishedContactsAt(long switchId);
@@ -154,47 +154,36 @@
     }
 
     /**
-     * The process at this address is a listed switch's: those of switches that have left the list and had the address
-     * have ended.
+     * The process at this switch's address is its own: those of switches that have left the list and had the address have
+     * ended.
      *
      * @param startedAt when the listed switch's process started; null if it is not known
      */
-    public void addressListed(InetSocketAddress address, Moment startedAt) {
+    public void addressListed(long id, Moment startedAt) {
+        SwitchEndpoint listedEndpoint = endpoints.get(id);
         List.copyOf(endpoints.values()).stream()
-                .filter(endpoint -> !endpoint.listed && endpoint.address.equals(address))
-                .forEach(endpoint -> replaced(endpoint, startedAt));
+                .filter(endpoint -> !endpoint.listed && endpoint.address.equals(listedEndpoint.address))
+                .forEach(endpoint -> {
+                    removeReplaced(endpoint);
+                    listener.processReplaced(endpoint.id, id, startedAt);
+                });
     }
 
     /** Whether the process of a switch may still run; false for a switch that was never listed. */
     public boolean mayBeAlive(long id) {
-        SwitchEndpoint endpoint = endpoints.get(id);
-        return endpoint != null && !endpoint.replaced;
+        return endpoints.containsKey(id);
     }
 
-    /** The address of a switch belongs to another process: what the switch's own process held is over. */
-    private void replaced(SwitchEndpoint endpoint, Moment newProcessStartedAt) {
-        if (endpoint.replaced) {
-            return;
-        }
+    /** The address of a switch belongs to another process, so nothing that comes from there is the switch's. */
+    private void removeReplaced(SwitchEndpoint endpoint) {
         listener.log("switch " + endpoint.id + ": another process has " + endpoint.address);
-        endpoint.replaced = true;
         endpoint.unlist();
-        endpoint.pendingFinishes.clear();
-        listener.processReplaced(endpoint.id, newProcessStartedAt);
-        removeIfUnused(endpoint);
-    }
-
-    /** Contacts may have been established at the new process by way of the old switch: they keep the connections. */
-    private void removeIfUnused(SwitchEndpoint endpoint) {
-        if (endpoint.replaced && !listener.hasEstablishedContactsAt(endpoint.id)) {
-            endpoints.remove(endpoint.id);
-            List.copyOf(endpoint.connections)
-                    .forEach(connection -> connection.transportConnection.close("address of another switch"));
-        }
+        endpoints.remove(endpoint.id);
+        List.copyOf(endpoint.connections)
+                .forEach(connection -> connection.transportConnection.close("address of another switch"));
     }
 
     private void checkLiveness(SwitchEndpoint endpoint) {
-        removeIfUnused(endpoint);
         if (endpoints.get(endpoint.id) != endpoint || closing) {
             return;
         }
@@ -478,7 +467,8 @@
         }
         if (connection.endpoint.draining && connection.endpoint.refused) {
             // A switch that has stopped listening does not begin again: this is the next process at its address.
-            replaced(connection.endpoint, null);
+            removeReplaced(connection.endpoint);
+            listener.processEnded(connection.endpoint.id);
             return;
         }
         connection.established = true;
@@ -565,7 +555,7 @@
      * the primary one, so that a group whose state was received is known to the listener.
      */
     private void reportGroupState(SwitchConnection connection) {
-        if (!isOpen(connection) || connection.endpoint.replaced) {
+        if (!isOpen(connection) || endpoints.get(connection.endpoint.id) != connection.endpoint) {
             return;
         }
         if (!connection.endpoint.groupStateReported) {
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -22,8 +22,6 @@
 
     boolean listed = true;
     boolean draining;
-    /** Another process has the address. */
-    boolean replaced;
     /** A connection was refused, while no other was open, since the switch was last listed as not draining. */
     boolean refused;
     /** Listed and not draining; read by the writing threads. */
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -95,6 +96,7 @@
         /** Connections on which no state is reported any more, while what comes on them is read. */
         final Set<Socket> muteConnections = ConcurrentHashMap.newKeySet();
 
+        private volatile boolean isReporting;
         private final ServerSocket listener;
 
         SwitchStandIn(int port) throws IOException {
@@ -120,10 +122,21 @@
             });
         }
 
+        private static void reset(Socket connection) throws IOException {
+            try {
+                connection.setSoLinger(true, 0);
+                connection.close();
+            } catch (SocketException e) {
+                // The controller has closed it already.
+                return;
+            }
+        }
+
         /** Sends the state of the group on every connection from now on, as a group does whose state changes. */
         void startReporting() {
+            isReporting = true;
             Thread reporter = new Thread(() -> {
-                while (!listener.isClosed()) {
+                while (isReporting && !listener.isClosed()) {
                     for (Socket connection : connections) {
                         reportLoad(connection);
                     }
@@ -134,6 +147,18 @@
             reporter.start();
         }
 
+        void stopReporting() {
+            isReporting = false;
+        }
+
+        void sendOnOpenConnection(String line) throws IOException {
+            Socket open = connections.stream()
+                    .filter(connection -> !connection.isClosed())
+                    .findFirst()
+                    .orElseThrow();
+            open.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
+        }
+
         private void reportLoad(Socket connection) {
             if (muteConnections.contains(connection)) {
                 return;
@@ -201,8 +226,7 @@
 
         void resetConnections() throws IOException {
             for (Socket connection : connections) {
-                connection.setSoLinger(true, 0);
-                connection.close();
+                reset(connection);
             }
         }
     }
--- a/src/test/java/martenslip/platform/ReplacedSwitchTest.java
+++ b/src/test/java/martenslip/platform/ReplacedSwitchTest.java
@@ -32,6 +32,8 @@
     /** A release is due 8 s after the end where the switch could send none, with 50 ms of slack. */
     private static final int RELEASE_DUE_MS = 8050;
 
+    /** Longer than the silence after which a switch that has left the list is over. */
+    private static final int SILENCE_MS = 4500;
     /** As the list gives it for a process that did not start late; such a one is not cold either. */
     private static final long START_UNKNOWN = 0;
 
@@ -129,6 +131,10 @@
         return newSwitch;
     }
 
+    private static String finishLine(String callId) {
+        return "{\"verb\":\"FINISH\",\"tag\":\"" + callId + "\",\"opts\":{},\"rc\":16}\n";
+    }
+
     private void assertReleased(String callId) throws IOException {
         String release = caller.next();
         assertTrue(release.startsWith("BYE ") && release.contains("Call-ID: " + callId), release);
@@ -223,14 +229,37 @@
     @Test
     public void contactsOfTheNewProcessAreKeptWhenTheListNamesIt() throws Exception {
         establish(CALL_ID, oldSwitch);
+        // The list tells the start in milliseconds: the old switch's answer has to lie before that.
+        for (long answeredAtMs = System.currentTimeMillis(); System.currentTimeMillis() < answeredAtMs + 2; ) {
+            Thread.onSpinWait();
+        }
         SwitchStandIn newSwitch = replaceWithoutRefusal();
         long startedAtMs = System.currentTimeMillis();
         awaitConnections(newSwitch, 2);
-        ReceivedMessage start = establish(OTHER_CALL_ID, newSwitch);
+        establish(OTHER_CALL_ID, newSwitch);
         tell(2, oldInstance("removed"), newInstance(startedAtMs));
         assertReleased(CALL_ID);
         assertNothingArrives();
-        start.finish(16, "");
+        newSwitch.sendOnOpenConnection(finishLine(OTHER_CALL_ID));
+        String release = caller.next();
+        assertTrue(release.contains("Call-ID: " + OTHER_CALL_ID) && release.contains("cause=16"), release);
+    }
+
+    /** Silence of a state that doesn't change, and a reset of the connections, cut nothing at the new process. */
+    @Test
+    public void contactsOfTheNewProcessOutliveSilenceAndAResetOfItsConnections() throws Exception {
+        SwitchStandIn newSwitch = replaceWithoutRefusal();
+        newSwitch.stopReporting();
+        long startedAtMs = System.currentTimeMillis();
+        awaitConnections(newSwitch, 2);
+        establish(OTHER_CALL_ID, newSwitch);
+        tell(2, oldInstance("removed"), newInstance(startedAtMs));
+        awaitConnections(newSwitch, 4);
+        newSwitch.resetConnections();
+        awaitConnections(newSwitch, 6);
+        caller.socket.setSoTimeout(SILENCE_MS);
+        assertThrows(SocketTimeoutException.class, caller::next);
+        newSwitch.sendOnOpenConnection(finishLine(OTHER_CALL_ID));
         String release = caller.next();
         assertTrue(release.contains("Call-ID: " + OTHER_CALL_ID) && release.contains("cause=16"), release);
     }
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -100,7 +100,7 @@
         }
 
         @Override
-        public void processReplaced(long switchId, Moment newProcessStartedAt) {
+        public void processReplaced(long switchId, long newSwitchId, Moment startedAt) {
             events.add("process replaced");
         }
 
