SIP over TCP: a request's timeout closes the connection that carried it, not its successor

Several requests on one mute connection time out within milliseconds, on several lanes; the first closes it, and a new one opened at once has read nothing either, so the next timeout would close that too. A connection opened in the later half of the request's time did not carry it.

--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -52,6 +52,8 @@
     /** Time of the last input; 0 before the first. */
     private volatile long lastReadNanos;
 
+    private final long createdNanos = System.nanoTime();
+
     private int socketTimeoutMs;
 
     Connection(
@@ -110,9 +112,16 @@
         }
     }
 
-    /** True if the connection is established and nothing has arrived since the moment, in {@link System#nanoTime}. */
-    boolean isSilentSince(long momentNanos) {
-        return wasEstablished() && (lastReadNanos == 0 || lastReadNanos - momentNanos < 0);
+    /**
+     * True if a request that was sent at this moment, in {@link System#nanoTime}, went out here and nothing has arrived
+     * since. The connection may have been opened for the request; one opened late is the successor of one that carried
+     * it.
+     */
+    boolean isSilentSinceRequest(long sentNanos) {
+        long elapsedNanos = System.nanoTime() - sentNanos;
+        boolean carriedRequest = createdNanos - sentNanos < elapsedNanos / 2;
+        boolean hasReadSince = lastReadNanos != 0 && lastReadNanos - sentNanos >= 0;
+        return wasEstablished() && carriedRequest && !hasReadSince;
     }
 
     /** True if the peer refused the connection, which proves that no process listens there. */
--- a/src/main/java/martenslip/sip/transport/Transport.java
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -160,7 +160,7 @@
      */
     public void requestUnanswered(Hop hop, Moment sentAt) {
         Connection connection = hop.protocol() == Hop.Protocol.TCP ? find(hop) : null;
-        if (connection != null && connection.isSilentSince(sentAt.ns())) {
+        if (connection != null && connection.isSilentSinceRequest(sentAt.ns())) {
             dropCounter.increment("connection silent");
             connection.close("requests are left unanswered");
         }
--- a/src/test/java/martenslip/sip/transport/TransportTest.java
+++ b/src/test/java/martenslip/sip/transport/TransportTest.java
@@ -18,6 +18,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.sip.message.InvalidValueException;
 import martenslip.sip.message.Request;
@@ -239,4 +240,22 @@
             assertEquals(nextCseqNumber(), 5);
         }
     }
+
+    /** Several requests time out at once: the first closes their connection, the others must not close the next one. */
+    @Test
+    public void anUnansweredRequestClosesTheConnectionThatCarriedItAndNotItsSuccessor() throws Exception {
+        Transport sender = open();
+        try (ServerSocket silentPeer = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            Hop hop = Hop.tcp((InetSocketAddress) silentPeer.getLocalSocketAddress());
+            Moment sentAt = new Moment(System.nanoTime());
+            sender.send(options(1, ""), hop);
+            Socket accepted = silentPeer.accept();
+            accepted.getInputStream().readNBytes(options(1, "").length);
+            sender.requestUnanswered(hop, new Moment(sentAt.ns() - 60_000_000_000L));
+            assertEquals(sender.connectionCount(), 1);
+            sender.requestUnanswered(hop, new Moment(System.nanoTime()));
+            assertEquals(sender.connectionCount(), 0);
+            assertTrue(nextEvent() instanceof TransportEvent.ConnectionLost);
+        }
+    }
 }
