--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -283,7 +283,7 @@
     private void shutDownWhenIdle(Moment sigtermAt) {
         boolean isLastMoment =
                 !shutdownSchedule.answerAllAfter().longerThan(wheel.now().since(sigtermAt));
-        if (!isLastMoment && (contactTable.openCount() > 0 || callerConnections.hasUnreadInput())) {
+        if (!isLastMoment && (contactTable.openCount() > 0 || callerConnections.hasPendingWork())) {
             wheel.scheduleAfter(SHUTDOWN_POLL_INTERVAL, () -> shutDownWhenIdle(sigtermAt));
             return;
         }
@@ -482,8 +482,18 @@
         }
 
         @Override
-        public void contactAnswered(long connectionId, String tag) {
-            callerConnections.contactAnswered(connectionId, tag);
+        public boolean sendAnswer(long connectionId, String tag, byte[] message) {
+            return callerConnections.sendAnswer(connectionId, tag, message);
+        }
+
+        @Override
+        public void sendRefusal(long connectionId, String tag, byte[] message) {
+            callerConnections.sendRefusal(connectionId, tag, message);
+        }
+
+        @Override
+        public void setUpEnded(long connectionId, String tag) {
+            callerConnections.setUpEnded(connectionId, tag);
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/martenslip/platform/caller/CallerConnection.java
@@ -0,0 +1,86 @@
+package martenslip.platform.caller;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import martenslip.platform.contact.CallerCancellation;
+import martenslip.sip.transport.Connection;
+import martenslip.sip.transport.OutgoingMessage;
+
+/** One caller's connection with its open set-ups. It is closed for its idleness by the methods here only. */
+final class CallerConnection {
+    /**
+     * The connections to close first: those that never sent a valid message, among them the one without activity for
+     * the longest time.
+     */
+    static final Comparator<CallerConnection> EVICTION_ORDER =
+            (first, second) -> first.hasSentValidMessage != second.hasSentValidMessage
+                    ? Boolean.compare(first.hasSentValidMessage, second.hasSentValidMessage)
+                    : Long.signum(first.activity.lastActivityNs() - second.activity.lastActivityNs());
+
+    final Connection connection;
+    final ConnectionActivity activity;
+    /** Cancellation marks of the open set-ups by Call-ID; a Call-ID names at most one of them. */
+    final Map<String, CallerCancellation> cancellations = new ConcurrentHashMap<>();
+
+    volatile boolean hasSentValidMessage;
+    /** Its caller has answered a BYE, so it reads what is sent. */
+    volatile boolean hasAnsweredRelease;
+
+    int invalidMessages;
+    private final LongSupplier clock;
+
+    /** {@code clock} gives values of {@link System#nanoTime}. */
+    CallerConnection(Connection connection, LongSupplier clock) {
+        this.connection = connection;
+        this.clock = clock;
+        activity = new ConnectionActivity(clock.getAsLong());
+    }
+
+    /** Queues the 200 of a set-up, which stays open until it has been written; false if the connection has ended. */
+    boolean sendAnswer(String callId, byte[] response) {
+        activity.answerQueued(callId, clock.getAsLong());
+        return sendFinalResponse(callId, response);
+    }
+
+    /** Queues a final response, whose set-up stays open until it has been written; false if the connection has ended. */
+    boolean sendFinalResponse(String callId, byte[] response) {
+        cancellations.remove(callId);
+        return connection.send(
+                OutgoingMessage.of(response, () -> activity.finalResponseWritten(callId, clock.getAsLong())));
+    }
+
+    /** The set-up needs no final response. */
+    void setUpEnded(String callId) {
+        cancellations.remove(callId);
+        activity.setUpEnded();
+    }
+
+    /** Whether the connection may be closed to make room. Its unread input is not considered. */
+    boolean isIdle() {
+        return connection.isWriteStalled() || !connection.hasUnsentOutput() && activity.isIdle(clock.getAsLong());
+    }
+
+    /**
+     * Whether anything is unread, unanswered, unwritten or unacknowledged. What waits for a peer that does not read
+     * does not count.
+     */
+    boolean hasPendingWork() {
+        return connection.hasUnreadInput() || !isSettled();
+    }
+
+    private boolean isSettled() {
+        return connection.isWriteStalled() || !connection.hasUnsentOutput() && activity.isSettled(clock.getAsLong());
+    }
+
+    /** Closes the connection if it is idle and has no unread input; returns whether it did. */
+    boolean closeIfIdle(String reason) {
+        return connection.closeIf(reason, this::isIdle);
+    }
+
+    /** Closes the connection if it has no pending work, however short it has been idle; returns whether it did. */
+    boolean closeIfSettled(String reason) {
+        return connection.closeIf(reason, this::isSettled);
+    }
+}
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -7,12 +7,13 @@
 import java.net.SocketTimeoutException;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.platform.contact.CallerCancellation;
@@ -46,11 +47,6 @@
     private static final int LISTEN_BACKLOG = 512;
     /** Invalid messages answered on one connection; at the next it is closed. */
     private static final int MAX_INVALID_MESSAGES = 3;
-    /** Open set-ups allowed on one connection; its reading thread refuses further ones. */
-    private static final int MAX_OPEN_SET_UPS = 256;
-
-    /** A connection is idle if nothing was received for this long; longer than a reading thread may lag behind. */
-    private static final long MIN_IDLE_NS = 400_000_000L;
 
     /** Connections checked for unread input before giving up on closing one. */
     private static final int MAX_EVICTION_CANDIDATES = 16;
@@ -85,25 +81,6 @@
         boolean isReady();
     }
 
-    private static final class CallerConnection {
-        final Connection connection;
-        final AtomicInteger openSetUps = new AtomicInteger();
-        /** Cancellation marks of the open set-ups by Call-ID; a Call-ID names at most one of them. */
-        final Map<String, CallerCancellation> cancellations = new ConcurrentHashMap<>();
-
-        volatile long lastReceivedNs;
-        volatile boolean hasSentValidMessage;
-        /** Its caller has answered a BYE, so it reads what is sent. */
-        volatile boolean hasAnsweredRelease;
-
-        int invalidMessages;
-
-        CallerConnection(Connection connection) {
-            this.connection = connection;
-            lastReceivedNs = System.nanoTime();
-        }
-    }
-
     private final TransportLimits limits;
     private final ConnectionThreadPool threadPool;
     private final Listener listener;
@@ -111,6 +88,7 @@
     private final SetUpParser setUpParser;
     private final Map<Long, CallerConnection> callers = new ConcurrentHashMap<>();
     private final ServerSocket serverSocket;
+    private final LongSupplier clock;
     private final CountDownLatch acceptStopped = new CountDownLatch(1);
     private volatile int connectionLimit;
     private volatile boolean closingGracefully;
@@ -125,18 +103,20 @@
             DropCounter drops,
             Listener listener)
             throws IOException {
-        this(settings, limits, threadPool, drops, listener, new ServerSocket());
+        this(settings, limits, threadPool, drops, listener, new ServerSocket(), System::nanoTime);
     }
 
-    /** {@code serverSocket} is not bound yet. */
+    /** {@code serverSocket} is not bound yet; {@code clock} gives values of {@link System#nanoTime}. */
     CallerConnections(
             ContactSettings settings,
             TransportLimits limits,
             ConnectionThreadPool threadPool,
             DropCounter drops,
             Listener listener,
-            ServerSocket serverSocket) {
+            ServerSocket serverSocket,
+            LongSupplier clock) {
         this.serverSocket = serverSocket;
+        this.clock = clock;
         this.limits = limits;
         this.threadPool = threadPool;
         this.listener = listener;
@@ -146,14 +126,14 @@
     }
 
     /**
-     * Sets how many connections callers may hold from now on. If they hold more, idle ones are closed; connections with
-     * an open set-up stay.
+     * Sets how many connections callers may hold from now on. If they hold more, idle ones are closed; connections in
+     * use stay.
      */
     public void setConnectionLimit(int limit) {
         connectionLimit = Math.max(1, Math.min(limits.maxConnections(), limit));
         int excess = callers.size() - connectionLimit;
-        for (int i = 0; i < excess && evictIdleConnection(); i++) {
-            drops.increment("connection ended for a switch");
+        for (int i = 0; i < excess && evictIdleConnection("idle, its descriptor is for a switch"); i++) {
+            // Each call closes one connection.
         }
     }
 
@@ -172,9 +152,9 @@
         return callers.size();
     }
 
-    /** Whether any connection has input that its reading thread has not handled yet. */
-    public boolean hasUnreadInput() {
-        return callers.values().stream().anyMatch(caller -> caller.connection.hasUnreadInput());
+    /** Whether anything is unread, unanswered, unwritten or unacknowledged on any connection. */
+    public boolean hasPendingWork() {
+        return callers.values().stream().anyMatch(CallerConnection::hasPendingWork);
     }
 
     /** Queues a message; returns false if the connection has ended or ends now because its peer does not read. */
@@ -206,15 +186,31 @@
         if (candidate.hasAnsweredRelease != best.hasAnsweredRelease) {
             return candidate.hasAnsweredRelease;
         }
-        return best.lastReceivedNs - candidate.lastReceivedNs < 0;
+        return best.activity.lastActivityNs() - candidate.activity.lastActivityNs() < 0;
+    }
+
+    /**
+     * Queues the 200 of an open set-up. The connection stays in use until the 200 has been written and its ACK read, the
+     * latter for a limited time. Returns false as {@link #send}.
+     */
+    public boolean sendAnswer(long connectionId, String tag, byte[] response) {
+        CallerConnection caller = callers.get(connectionId);
+        return caller != null && caller.sendAnswer(tag, response);
     }
 
-    /** A set-up got its final response: it is no longer open on its connection. */
-    public void contactAnswered(long connectionId, String tag) {
+    /** Queues the refusal of a set-up, which is open until it has been written. */
+    public void sendRefusal(long connectionId, String tag, byte[] response) {
         CallerConnection caller = callers.get(connectionId);
         if (caller != null) {
-            caller.cancellations.remove(tag);
-            caller.openSetUps.decrementAndGet();
+            caller.sendFinalResponse(tag, response);
+        }
+    }
+
+    /** A set-up needs no final response: it is no longer open on its connection. */
+    public void setUpEnded(long connectionId, String tag) {
+        CallerConnection caller = callers.get(connectionId);
+        if (caller != null) {
+            caller.setUpEnded(tag);
         }
     }
 
@@ -255,7 +251,7 @@
             }
             // Without a free file descriptor accept fails at once while the caller keeps waiting: avoid a busy loop.
             drops.increment("accept fault", String.valueOf(e.getMessage()));
-            if (!evictIdleConnection()) {
+            if (!evictIdleConnection("idle, no descriptor is left")) {
                 pause();
             }
             return true;
@@ -285,7 +281,7 @@
                 connectionListener,
                 new ContentLengthFramer(MAX_MESSAGE_BYTES, INITIAL_BUFFER_BYTES, true),
                 threadPool);
-        callers.put(connection.id(), new CallerConnection(connection));
+        callers.put(connection.id(), new CallerConnection(connection, clock));
         startConnection(connection);
     }
 
@@ -319,7 +315,7 @@
     /** Waits a limited time for a connection to close; further callers wait in the listen backlog meanwhile. */
     private boolean waitForRoom() {
         for (int i = 0; callers.size() >= connectionLimit; i++) {
-            if (i == MAX_ROOM_POLLS || !evictIdleConnection() && !pause()) {
+            if (i == MAX_ROOM_POLLS || !evictIdleConnection("idle, room for a new one") && !pause()) {
                 return false;
             }
         }
@@ -327,36 +323,24 @@
     }
 
     /**
-     * Closes the connection that has been idle longest among those without open set-ups, those that never sent a valid
-     * message first. A connection that was just accepted or has unread input is never closed: its caller would lose a
-     * set-up that this controller has already accepted, and with only part of a core a reading thread may handle it
-     * late.
+     * Closes the idle connection that comes first in {@link CallerConnection#EVICTION_ORDER}; returns false if there is
+     * none. A connection that was just accepted is not idle, and one with unread input is never closed: its caller would
+     * lose a set-up that this controller has already accepted, and with only part of a core a reading thread may handle
+     * it late.
      */
-    private boolean evictIdleConnection() {
-        Set<CallerConnection> skipped = new HashSet<>();
+    private boolean evictIdleConnection(String reason) {
+        Set<CallerConnection> inUse = new HashSet<>();
         for (int i = 0; i < MAX_EVICTION_CANDIDATES; i++) {
-            long now = System.nanoTime();
-            CallerConnection candidate = null;
-            for (CallerConnection caller : callers.values()) {
-                if (caller.openSetUps.get() <= 0
-                        && now - caller.lastReceivedNs > MIN_IDLE_NS
-                        && !skipped.contains(caller)
-                        && (candidate == null
-                                || candidate.hasSentValidMessage && !caller.hasSentValidMessage
-                                || candidate.hasSentValidMessage == caller.hasSentValidMessage
-                                        && caller.lastReceivedNs - candidate.lastReceivedNs < 0)) {
-                    candidate = caller;
-                }
-            }
-            if (candidate == null) {
+            Optional<CallerConnection> candidate = callers.values().stream()
+                    .filter(caller -> !inUse.contains(caller) && caller.isIdle())
+                    .min(CallerConnection.EVICTION_ORDER);
+            if (candidate.isEmpty()) {
                 return false;
             }
-            if (!candidate.connection.hasUnreadInput() && candidate.openSetUps.get() <= 0) {
-                drops.increment("quiet line ended for a new one");
-                candidate.connection.close("room for others");
+            if (candidate.get().closeIfIdle(reason)) {
                 return true;
             }
-            skipped.add(candidate);
+            inUse.add(candidate.get());
         }
         return false;
     }
@@ -366,7 +350,7 @@
         public void messageReceived(Connection connection, byte[] message) throws InterruptedException {
             CallerConnection caller = callers.get(connection.id());
             if (caller != null) {
-                caller.lastReceivedNs = System.nanoTime();
+                caller.activity.messageReceived(clock.getAsLong());
                 handleMessage(caller, message);
             } else {
                 handleLateMessage(connection.id(), message);
@@ -378,6 +362,7 @@
             CallerConnection caller = callers.remove(connection.id());
             if (caller != null) {
                 caller.cancellations.values().forEach(CallerCancellation::cancel);
+                countWhatIsCutOff(caller, reason);
             }
             drops.increment("line over", reason);
             try {
@@ -386,8 +371,23 @@
                 Thread.currentThread().interrupt();
             }
         }
+
+        @Override
+        public boolean isInUse(Connection connection) {
+            CallerConnection caller = callers.get(connection.id());
+            return caller != null && caller.hasPendingWork();
+        }
     };
 
+    private void countWhatIsCutOff(CallerConnection caller, String reason) {
+        if (caller.activity.openSetUpCount() > 0) {
+            drops.increment("line over with an open set-up", reason);
+        }
+        if (caller.activity.unacknowledgedCount(clock.getAsLong()) > 0) {
+            drops.increment("line over before an ACK", reason);
+        }
+    }
+
     private void handleMessage(CallerConnection caller, byte[] bytes) throws InterruptedException {
         ParseResult parsed = MessageParser.parseMinimal(bytes, bytes.length);
         Message message = parsed.message();
@@ -399,6 +399,7 @@
         if (message instanceof Response response) {
             caller.hasAnsweredRelease = true;
             releaseAnswered(response);
+            caller.activity.acknowledged(response.callId());
             return;
         }
         Request request = (Request) message;
@@ -411,8 +412,13 @@
                     cancellation.cancel();
                 }
                 listener.requestReceived(connectionId, request);
+                caller.activity.acknowledged(request.callId());
+            }
+            case "ACK" -> {
+                listener.requestReceived(connectionId, request);
+                // After the request was queued: the end of the connection must be queued behind it.
+                caller.activity.acknowledged(request.callId());
             }
-            case "ACK" -> listener.requestReceived(connectionId, request);
             case "OPTIONS" -> {
                 caller.hasSentValidMessage = true;
                 boolean ready = listener.isReady();
@@ -474,8 +480,7 @@
             rejectMessage(caller, invite, e.getMessage());
             return;
         }
-        if (caller.openSetUps.incrementAndGet() > MAX_OPEN_SET_UPS) {
-            caller.openSetUps.decrementAndGet();
+        if (!caller.activity.addSetUp()) {
             drops.increment("too many set-ups open on a line");
             caller.connection.send(CallerMessages.response(invite, 503, "Too Many Open"));
             return;
@@ -487,9 +492,8 @@
             cancellation.cancel();
         }
         if (!listener.setUpReceived(request)) {
-            contactAnswered(caller.connection.id(), request.tag());
             drops.increment("no room for a set-up");
-            caller.connection.send(CallerMessages.response(invite, 503, "No Room"));
+            caller.sendFinalResponse(request.tag(), CallerMessages.response(invite, 503, "No Room"));
         }
     }
 
@@ -504,8 +508,8 @@
 
     /**
      * Accepts the connections that are already waiting and no later ones, and closes each connection once it has no
-     * open set-up and no unread input. Messages read meanwhile still go to the listener, so the decision thread must
-     * keep running. Connections that still have open set-ups after the timeout are left open.
+     * pending work. Messages read meanwhile still go to the listener, so the decision thread must keep running.
+     * Connections that still have pending work after the timeout are left open.
      */
     public void closeGracefully(Span timeout) {
         long deadlineNs = System.nanoTime() + timeout.ns();
@@ -516,11 +520,7 @@
             Thread.currentThread().interrupt();
         }
         do {
-            for (CallerConnection caller : callers.values()) {
-                if (caller.openSetUps.get() <= 0 && !caller.connection.hasUnreadInput()) {
-                    caller.connection.flushAndClose("closing", Span.ofMillis(POLL_INTERVAL_MS));
-                }
-            }
+            callers.values().forEach(caller -> caller.closeIfSettled("closing"));
         } while (!callers.isEmpty() && System.nanoTime() < deadlineNs && pause());
     }
 
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -152,9 +152,9 @@
         if (request.establishedSwitch() == null
                 && (existing != null || isRefusingNewContacts || openContactsById.size() >= settings.maxOpen())) {
             counters.refusedWithoutOffer++;
-            outbound.contactAnswered(request.connectionId(), request.tag());
-            outbound.sendToCaller(
+            outbound.sendRefusal(
                     request.connectionId(),
+                    request.tag(),
                     existing != null
                             ? CallerMessages.response(request.invite(), 482, "Loop Detected")
                             : CallerMessages.deferred(request.invite(), Span.ZERO));
@@ -163,9 +163,10 @@
         if (request.cancellation().isCancelled()) {
             // The caller no longer waits: its CANCEL, BYE or disconnect is queued behind this request in the inbox.
             counters.callerGone++;
-            outbound.contactAnswered(request.connectionId(), request.tag());
-            outbound.sendToCaller(
-                    request.connectionId(), CallerMessages.response(request.invite(), 487, "Request Terminated"));
+            outbound.sendRefusal(
+                    request.connectionId(),
+                    request.tag(),
+                    CallerMessages.response(request.invite(), 487, "Request Terminated"));
             return;
         }
         TrackedContact contact = new TrackedContact(++lastContactId, request);
@@ -196,7 +197,7 @@
      * Takes over a contact that is already established at this switch, according to its caller; no answer is expected.
      */
     public void establishedContactReported(SetUpRequest request, long switchId) {
-        outbound.contactAnswered(request.connectionId(), request.tag());
+        outbound.setUpEnded(request.connectionId(), request.tag());
         if (contactsByTag.containsKey(request.tag()) || endReconciliation.endIsSettledAtNaming(request, switchId)) {
             return;
         }
@@ -212,7 +213,7 @@
 
     /** Releases a contact that is established, according to its caller, at a switch that is not on the list. */
     public void establishedContactReportedAtUnknownSwitch(SetUpRequest request) {
-        outbound.contactAnswered(request.connectionId(), request.tag());
+        outbound.setUpEnded(request.connectionId(), request.tag());
         if (!contactsByTag.containsKey(request.tag())) {
             releaseSender.release(
                     request.tag(),
@@ -240,9 +241,7 @@
      */
     private void callerLeft(TrackedContact contact) {
         if (contact.isOpen) {
-            outbound.sendToCaller(
-                    contact.callerConnectionId,
-                    CallerMessages.response(contact.setUpRequest.invite(), 487, "Request Terminated"));
+            sendRefusal(contact, 487, "Request Terminated");
             callerGone(contact);
         }
     }
@@ -322,8 +321,9 @@
         closeSetUp(contact);
         establishedContacts.add(contact, wheel.now());
         counters.established++;
-        boolean delivered = outbound.sendToCaller(
+        boolean delivered = outbound.sendAnswer(
                 contact.callerConnectionId,
+                contact.tag,
                 CallerMessages.established(inviteRequest, description.getBytes(StandardCharsets.UTF_8)));
         notifyController(controller -> controller.established(wheel.now(), contact.id, ringNumber, switchId, elapsed));
         if (!delivered) {
@@ -441,12 +441,19 @@
 
     // ---- ends of contacts and attempts
 
+    /** Sends the refusal of an open contact. */
+    private void sendRefusal(TrackedContact contact, int status, String reason) {
+        outbound.sendRefusal(
+                contact.callerConnectionId,
+                contact.tag,
+                CallerMessages.response(contact.setUpRequest.invite(), status, reason));
+    }
+
     /** Ends the wait for a final answer: it was sent, or the caller has gone. */
     private void closeSetUp(TrackedContact contact) {
         contact.isOpen = false;
         contact.answerDeadlineTimer.cancel();
         openContactsById.remove(contact.id);
-        outbound.contactAnswered(contact.callerConnectionId, contact.tag);
         if (contact.attempt == null) {
             forgetUnanswered(contact);
         }
@@ -541,9 +548,7 @@
     }
 
     private void answerAsFailed(TrackedContact contact) {
-        outbound.sendToCaller(
-                contact.callerConnectionId,
-                CallerMessages.response(contact.setUpRequest.invite(), 500, "Server Internal Error"));
+        sendRefusal(contact, 500, "Server Internal Error");
         callerGone(contact);
     }
 
@@ -630,8 +635,10 @@
         TrackedContact contact = openContactsById.get(contactId);
         if (contact != null) {
             counters.deferred++;
-            outbound.sendToCaller(
-                    contact.callerConnectionId, CallerMessages.deferred(contact.setUpRequest.invite(), retryDelay));
+            outbound.sendRefusal(
+                    contact.callerConnectionId,
+                    contact.tag,
+                    CallerMessages.deferred(contact.setUpRequest.invite(), retryDelay));
             closeSetUp(contact);
         }
     }
@@ -641,9 +648,7 @@
         TrackedContact contact = openContactsById.get(contactId);
         if (contact != null) {
             counters.abandoned++;
-            outbound.sendToCaller(
-                    contact.callerConnectionId,
-                    CallerMessages.response(contact.setUpRequest.invite(), 500, "Server Internal Error"));
+            sendRefusal(contact, 500, "Server Internal Error");
             closeSetUp(contact);
         }
     }
--- a/src/main/java/martenslip/platform/contact/OutboundMessages.java
+++ b/src/main/java/martenslip/platform/contact/OutboundMessages.java
@@ -17,8 +17,17 @@
      */
     long otherCallerConnection(Set<Long> excludedConnectionIds);
 
-    /** The set-up with this tag, received on this connection, has its final answer. */
-    void contactAnswered(long connectionId, String tag);
+    /**
+     * Sends the 200 of the set-up with this tag on the connection it came on; false where that connection has ended. The
+     * set-up stays open on its connection until its final response has been written.
+     */
+    boolean sendAnswer(long connectionId, String tag, byte[] message);
+
+    /** Sends the refusal of the set-up with this tag, as {@link #sendAnswer}. */
+    void sendRefusal(long connectionId, String tag, byte[] message);
+
+    /** The set-up with this tag, received on this connection, needs no final response. */
+    void setUpEnded(long connectionId, String tag);
 
     /** Ends the connection of a caller that misbehaves. */
     void disconnect(long connectionId, String reason);
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -5,10 +5,12 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import martenslip.control.Span;
 
 /**
@@ -24,6 +26,11 @@
         /** The connection has ended; called once. */
         void ended(Connection connection, String reason);
 
+        /** Whether the connection has to stay open though nothing was received for the idle timeout. */
+        default boolean isInUse(Connection connection) {
+            return false;
+        }
+
         /** An outgoing connection has been established; called only with a {@link ConnectionThreadPool}. */
         default void connected(Connection connection) {}
     }
@@ -48,6 +55,9 @@
     private boolean wasRefused;
     private long readStartNanos;
     private boolean hasReceivedMessage;
+    /** True for a connection of the peer's. */
+    private final boolean accepted;
+
     private volatile boolean handlingInput;
     /** Time of the last input; 0 before the first. */
     private volatile long lastReadNanos;
@@ -83,6 +93,7 @@
         this.socket = socket;
         this.peer = peer;
         this.established = established;
+        accepted = established;
         this.limits = limits;
         this.listener = listener;
         this.framer = framer;
@@ -139,8 +150,7 @@
             threadPool.executeRead(this::connectAndRead);
             return;
         }
-        // Read before the writer starts: the writer may connect at once and then starts the reading thread itself.
-        boolean accepted = wasEstablished();
+        // The writer of an outgoing connection starts the reading thread once it has connected.
         new Thread(null, this::runWriter, name + "-out-" + id, STACK_SIZE_BYTES).start();
         if (accepted) {
             startReading(name);
@@ -198,6 +208,7 @@
             synchronized (this) {
                 messages.forEach(message -> unsentBytes -= message.size());
                 writeStartNanos = 0;
+                notifyAll();
             }
             messages.forEach(OutgoingMessage::completed);
         }
@@ -322,14 +333,48 @@
         }
     }
 
+    /** Whether messages are queued or being written. */
+    public synchronized boolean hasUnsentOutput() {
+        return unsentBytes > 0 || !unsentMessages.isEmpty() || writeStartNanos != 0;
+    }
+
+    /** Whether the write in progress has taken longer than the limit: the peer does not read. */
+    public synchronized boolean isWriteStalled() {
+        return writeStartNanos != 0
+                && System.nanoTime() - writeStartNanos
+                        > limits.writeStallTimeout().ns();
+    }
+
+    /**
+     * Closes the connection if it has no unread input and the condition holds; returns whether it did. No input is
+     * handled and no message queued between the check and the close. The condition is evaluated under the lock of this
+     * connection.
+     */
+    public boolean closeIf(String reason, BooleanSupplier condition) {
+        synchronized (this) {
+            if (closed || hasUnreadInput() || !condition.getAsBoolean()) {
+                return false;
+            }
+            closed = true;
+        }
+        finishClosing(reason);
+        return true;
+    }
+
     /** Closes the connection and discards unsent messages; no effect if it is closed already. */
     public void close(String reason) {
-        List<OutgoingMessage> unwritten;
         synchronized (this) {
             if (closed) {
                 return;
             }
             closed = true;
+        }
+        finishClosing(reason);
+    }
+
+    private void finishClosing(String reason) {
+        List<OutgoingMessage> unwritten;
+        synchronized (this) {
             unwritten = List.copyOf(unsentMessages);
             unsentMessages.clear();
             notifyAll();
@@ -386,13 +431,19 @@
             InputStream input = socket.getInputStream();
             while (true) {
                 updateSocketTimeout(messageStartNanos);
-                byte[] buffer = framer.buffer();
-                int bytesRead = input.read(buffer, framer.position(), buffer.length - framer.position());
+                int bytesRead;
+                try {
+                    bytesRead = read(input);
+                } catch (SocketTimeoutException e) {
+                    if (closeAfterReadTimeout()) {
+                        return;
+                    }
+                    continue;
+                }
                 if (bytesRead < 0) {
                     close(framer.hasPartialMessage() ? "ended amid a message" : "ended by the peer");
                     return;
                 }
-                handlingInput = true;
                 lastReadNanos = System.nanoTime();
                 messageStartNanos = framer.hasPartialMessage() ? messageStartNanos : System.nanoTime();
                 framer.advance(bytesRead);
@@ -403,11 +454,6 @@
                 }
                 handlingInput = false;
             }
-        } catch (SocketTimeoutException e) {
-            close(
-                    framer.hasPartialMessage()
-                            ? "a message took too long to arrive"
-                            : hasReceivedMessage ? "idle" : "no message came");
         } catch (IOException | StreamFramer.FramingException e) {
             close(String.valueOf(e.getMessage()));
         } catch (InterruptedException e) {
@@ -418,6 +464,43 @@
         }
     }
 
+    /**
+     * Reads what has arrived, at least one byte, and marks it as being handled; returns -1 at the end of the stream.
+     *
+     * <p>On a connection that {@link #closeIf} may close, the first byte is read alone. The rest stays visible as unread
+     * input until it is marked, so no message is overlooked that was read but not marked yet.
+     */
+    private int read(InputStream input) throws IOException {
+        byte[] buffer = framer.buffer();
+        int position = framer.position();
+        int firstRead = input.read(buffer, position, accepted ? 1 : buffer.length - position);
+        if (firstRead < 0 || !accepted) {
+            handlingInput = firstRead >= 0;
+            return firstRead;
+        }
+        beginHandlingInput();
+        int remaining = Math.min(input.available(), buffer.length - position - firstRead);
+        return remaining <= 0
+                ? firstRead
+                : firstRead + Math.max(0, input.read(buffer, position + firstRead, remaining));
+    }
+
+    private synchronized void beginHandlingInput() throws SocketException {
+        if (closed) {
+            throw new SocketException("closed");
+        }
+        handlingInput = true;
+    }
+
+    /** Nothing arrived in time; returns false if the connection stays open as it is in use. */
+    private boolean closeAfterReadTimeout() {
+        if (framer.hasPartialMessage() || !hasReceivedMessage) {
+            close(framer.hasPartialMessage() ? "a message took too long to arrive" : "no message came");
+            return true;
+        }
+        return closeIf("idle", () -> isWriteStalled() || !hasUnsentOutput() && !listener.isInUse(this));
+    }
+
     /**
      * Frames everything that was read at once. If any part of it is malformed, none of its messages are delivered, as
      * the framing cannot be trusted.
--- a/src/test/java/martenslip/platform/GatedSockets.java
+++ b/src/test/java/martenslip/platform/GatedSockets.java
@@ -9,23 +9,25 @@
 import java.util.function.Supplier;
 
 /** Creates sockets to switches that connect and write only while a gate, controlled by the test, is open. */
-final class GatedSockets implements Supplier<Socket> {
+public final class GatedSockets implements Supplier<Socket> {
     /** A gate: threads that reach it while it is closed wait. */
-    static final class Gate {
+    public static final class Gate {
         private boolean isShut;
         private int waitingCount;
 
-        synchronized void close() {
+        /** Threads that reach the gate wait from now on. */
+        public synchronized void close() {
             isShut = true;
         }
 
-        synchronized void open() {
+        /** Lets the threads that wait pass, and all that follow. */
+        public synchronized void open() {
             isShut = false;
             notifyAll();
         }
 
         /** Waits until this many threads wait at the gate. */
-        synchronized void awaitWaiting(int count) throws InterruptedException {
+        public synchronized void awaitWaiting(int count) throws InterruptedException {
             long deadlineNs = System.nanoTime() + 10_000_000_000L;
             while (waitingCount < count) {
                 long remainingMs = (deadlineNs - System.nanoTime()) / 1_000_000;
@@ -36,7 +38,8 @@
             }
         }
 
-        private synchronized void pass() throws IOException {
+        /** Waits while the gate is closed. */
+        public synchronized void pass() throws IOException {
             waitingCount++;
             notifyAll();
             try {
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -111,7 +111,8 @@
                         return true;
                     }
                 },
-                serverSocket);
+                serverSocket,
+                System::nanoTime);
         address = new InetSocketAddress(
                 InetAddress.getLoopbackAddress(),
                 callers.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
@@ -262,8 +263,7 @@
             assertEquals(setUps.size(), 0);
             acknowledgementsReleased.countDown();
             SetUpRequest setUp = nextSetUp();
-            assertTrue(callers.send(setUp.connectionId(), "bye".getBytes(StandardCharsets.US_ASCII)));
-            callers.contactAnswered(setUp.connectionId(), setUp.tag());
+            callers.sendRefusal(setUp.connectionId(), setUp.tag(), "bye".getBytes(StandardCharsets.US_ASCII));
             assertEquals(new String(unread.getInputStream().readNBytes(3), StandardCharsets.US_ASCII), "bye");
             assertTrue(isEnded(unread));
             closer.join(10_000);
--- a/src/test/java/martenslip/platform/contact/CheckedOutboundMessages.java
+++ b/src/test/java/martenslip/platform/contact/CheckedOutboundMessages.java
@@ -23,8 +23,18 @@
     }
 
     @Override
-    public void contactAnswered(long connectionId, String tag) {
-        // The models do not count the open contacts of a connection.
+    public boolean sendAnswer(long connectionId, String tag, byte[] message) {
+        return sendToCaller(connectionId, message);
+    }
+
+    @Override
+    public void sendRefusal(long connectionId, String tag, byte[] message) {
+        sendToCaller(connectionId, message);
+    }
+
+    @Override
+    public void setUpEnded(long connectionId, String tag) {
+        // Needed by the caller connections only; no test checks it.
     }
 
     @Override
--- a/src/test/java/martenslip/platform/contact/ContactTableHarness.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableHarness.java
@@ -160,7 +160,17 @@
     }
 
     @Override
-    public void contactAnswered(long connectionId, String tag) {
+    public boolean sendAnswer(long connectionId, String tag, byte[] message) {
+        return sendToCaller(connectionId, message);
+    }
+
+    @Override
+    public void sendRefusal(long connectionId, String tag, byte[] message) {
+        sendToCaller(connectionId, message);
+    }
+
+    @Override
+    public void setUpEnded(long connectionId, String tag) {
         // Needed by the caller connections only; no test checks it.
     }
 
