SIP over TCP: what is queued when the transport is closed gets 1 s to be written

What callers saw: `run` ends once each contact is answered; a response that was queued by then, and not written, never left, and the caller saw its connection end.

Cause: Transport.close used Connection.close, which discards queued messages.

Change: flushAndClose for each connection, 1 s in all.

--- a/src/main/java/martenslip/sip/transport/Transport.java
+++ b/src/main/java/martenslip/sip/transport/Transport.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import martenslip.control.Moment;
+import martenslip.control.Span;
 import martenslip.sip.message.InvalidValueException;
 import martenslip.sip.message.Message;
 import martenslip.sip.message.MessageParser;
@@ -33,6 +34,8 @@
     private static final int MIN_MESSAGE_BYTES = 5;
 
     private static final int SOCKET_BUFFER_BYTES = 4 << 20;
+    /** Time for all connections together to write what is queued when the transport is closed. */
+    private static final Span CLOSE_FLUSH_TIMEOUT = Span.ofMillis(1000);
 
     private final String name;
     private final TransportLimits limits;
@@ -345,6 +348,7 @@
         return connections.size();
     }
 
+    /** Closes the sockets. Messages that are queued on connections get a limited time to be written. */
     @Override
     public void close() {
         closing = true;
@@ -355,6 +359,9 @@
                 dropCounter.increment("close fault");
             }
         }
-        new ArrayList<>(connections.values()).forEach(connection -> connection.close("closing"));
+        long deadlineNanos = System.nanoTime() + CLOSE_FLUSH_TIMEOUT.ns();
+        for (Connection connection : List.copyOf(connections.values())) {
+            connection.flushAndClose("closing", new Span(deadlineNanos - System.nanoTime()));
+        }
     }
 }
--- a/src/test/java/martenslip/sip/transport/TransportTest.java
+++ b/src/test/java/martenslip/sip/transport/TransportTest.java
@@ -258,4 +258,23 @@
             assertTrue(nextEvent() instanceof TransportEvent.ConnectionLost);
         }
     }
+
+    /** Guards against responses that are queued when the process ends and never leave (related path of review/3). */
+    @Test(timeOut = 30_000)
+    public void closingWritesWhatIsQueued() throws Exception {
+        open(TransportLimits.DEFAULTS);
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(options(1, ""));
+            Hop peer = ((TransportEvent.MessageReceived) nextEvent()).from();
+            byte[] message = new byte[4096];
+            int messageCount = 200;
+            for (int i = 0; i < messageCount; i++) {
+                assertTrue(transport.send(message, peer));
+            }
+            Thread closer = new Thread(transport::close);
+            closer.start();
+            assertEquals(socket.getInputStream().readAllBytes().length, messageCount * message.length);
+            closer.join();
+        }
+    }
 }
