--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -14,17 +14,11 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.platform.contact.CallerCancellation;
-import martenslip.platform.contact.CallerMessages;
 import martenslip.platform.contact.ContactSettings;
 import martenslip.platform.contact.SetUpRequest;
-import martenslip.sip.message.Message;
-import martenslip.sip.message.MessageParser;
-import martenslip.sip.message.ParseResult;
 import martenslip.sip.message.Request;
-import martenslip.sip.message.Response;
 import martenslip.sip.transport.Connection;
 import martenslip.sip.transport.ConnectionThreadPool;
 import martenslip.sip.transport.ContentLengthFramer;
@@ -45,8 +39,6 @@
 
     private static final int STACK_BYTES = 128 * 1024;
     private static final int LISTEN_BACKLOG = 512;
-    /** Invalid messages answered on one connection; at the next it is closed. */
-    private static final int MAX_INVALID_MESSAGES = 3;
 
     /** Connections checked for unread input before giving up on closing one. */
     private static final int MAX_EVICTION_CANDIDATES = 16;
@@ -85,7 +77,7 @@
     private final ConnectionThreadPool threadPool;
     private final Listener listener;
     private final DropCounter drops;
-    private final SetUpParser setUpParser;
+    private final CallerMessageHandler messageHandler;
     private final Map<Long, CallerConnection> callers = new ConcurrentHashMap<>();
     private final ServerSocket serverSocket;
     private final LongSupplier clock;
@@ -121,7 +113,7 @@
         this.threadPool = threadPool;
         this.listener = listener;
         this.drops = drops;
-        setUpParser = new SetUpParser(settings);
+        messageHandler = new CallerMessageHandler(new SetUpParser(settings), listener, drops, callers::containsKey);
         connectionLimit = limits.maxConnections();
     }
 
@@ -351,9 +343,9 @@
             CallerConnection caller = callers.get(connection.id());
             if (caller != null) {
                 caller.activity.messageReceived(clock.getAsLong());
-                handleMessage(caller, message);
+                messageHandler.handleMessage(caller, message);
             } else {
-                handleLateMessage(connection.id(), message);
+                messageHandler.handleLateMessage(connection.id(), message);
             }
         }
 
@@ -388,124 +380,6 @@
         }
     }
 
-    private void handleMessage(CallerConnection caller, byte[] bytes) throws InterruptedException {
-        ParseResult parsed = MessageParser.parseMinimal(bytes, bytes.length);
-        Message message = parsed.message();
-        if (!parsed.isValid()) {
-            rejectMessage(caller, parsed.isAnswerable() ? (Request) message : null, parsed.fault());
-            return;
-        }
-        long connectionId = caller.connection.id();
-        if (message instanceof Response response) {
-            caller.hasAnsweredRelease = true;
-            releaseAnswered(response);
-            caller.activity.acknowledged(response.callId());
-            return;
-        }
-        Request request = (Request) message;
-        switch (request.method()) {
-            case "INVITE" -> handleInvite(caller, request);
-            case "CANCEL", "BYE" -> {
-                CallerCancellation cancellation = caller.cancellations.get(request.callId());
-                if (cancellation != null) {
-                    // Marked before the request is queued: messages queued for the contact must not be sent meanwhile.
-                    cancellation.cancel();
-                }
-                listener.requestReceived(connectionId, request);
-                caller.activity.acknowledged(request.callId());
-            }
-            case "ACK" -> {
-                listener.requestReceived(connectionId, request);
-                // After the request was queued: the end of the connection must be queued behind it.
-                caller.activity.acknowledged(request.callId());
-            }
-            case "OPTIONS" -> {
-                caller.hasSentValidMessage = true;
-                boolean ready = listener.isReady();
-                caller.connection.send(CallerMessages.response(request, ready ? 200 : 503, ready ? "OK" : "Not Ready"));
-            }
-            default -> rejectMessage(caller, request, "no such method");
-        }
-    }
-
-    /**
-     * Handles a message that was read whole before its connection ended and arrives here after that: any thread may
-     * notice the end first. Nothing can be answered any more, but an established contact belongs to no connection, so
-     * its caller's BYE, acknowledgements and naming count.
-     */
-    private void handleLateMessage(long connectionId, byte[] bytes) throws InterruptedException {
-        ParseResult parsed = MessageParser.parseMinimal(bytes, bytes.length);
-        if (!parsed.isValid()) {
-            return;
-        }
-        if (parsed.message() instanceof Response response) {
-            releaseAnswered(response);
-            return;
-        }
-        Request request = (Request) parsed.message();
-        switch (request.method()) {
-            case "BYE", "ACK" -> listener.requestReceived(connectionId, request);
-            case "INVITE" -> handleLateInvite(connectionId, request);
-            default -> drops.increment("message after its connection");
-        }
-    }
-
-    private void handleLateInvite(long connectionId, Request invite) throws InterruptedException {
-        try {
-            SetUpRequest request =
-                    setUpParser.parse(connectionId, invite, new Moment(System.nanoTime()), new CallerCancellation());
-            if (request.establishedSwitch() != null) {
-                listener.setUpReceived(request);
-                return;
-            }
-        } catch (SetUpParser.InvalidSetUpException e) {
-            drops.increment("wrong", e.getMessage());
-            return;
-        }
-        drops.increment("message after its connection");
-    }
-
-    private void releaseAnswered(Response response) throws InterruptedException {
-        if (response.headers().first("CSeq").endsWith("BYE")) {
-            listener.releaseAcknowledged(response.callId());
-        }
-    }
-
-    private void handleInvite(CallerConnection caller, Request invite) throws InterruptedException {
-        SetUpRequest request;
-        CallerCancellation cancellation = new CallerCancellation();
-        try {
-            request = setUpParser.parse(caller.connection.id(), invite, new Moment(System.nanoTime()), cancellation);
-        } catch (SetUpParser.InvalidSetUpException e) {
-            rejectMessage(caller, invite, e.getMessage());
-            return;
-        }
-        if (!caller.activity.addSetUp()) {
-            drops.increment("too many set-ups open on a line");
-            caller.connection.send(CallerMessages.response(invite, 503, "Too Many Open"));
-            return;
-        }
-        caller.hasSentValidMessage = true;
-        caller.cancellations.put(request.tag(), cancellation);
-        if (callers.get(caller.connection.id()) != caller) {
-            // The connection ended meanwhile, perhaps before the entry above could be seen and cancelled.
-            cancellation.cancel();
-        }
-        if (!listener.setUpReceived(request)) {
-            drops.increment("no room for a set-up");
-            caller.sendFinalResponse(request.tag(), CallerMessages.response(invite, 503, "No Room"));
-        }
-    }
-
-    private void rejectMessage(CallerConnection caller, Request request, String reason) {
-        drops.increment("wrong", reason);
-        if (request == null || ++caller.invalidMessages > MAX_INVALID_MESSAGES) {
-            caller.connection.close(reason);
-            return;
-        }
-        caller.connection.send(CallerMessages.response(request, 400, reason));
-    }
-
     /**
      * Accepts the connections that are already waiting and no later ones, and closes each connection once it has no
      * pending work. Messages read meanwhile still go to the listener, so the decision thread must keep running.
