A release goes to the caller that was heard of last, not to the one last written to

otherConnection promises the connection with the most recent input. With one time for input and answers a written answer counted as well, though it shows nothing of its caller. The time of the last input is kept apart again.

Test: anAnswerIsNoInput.

--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -178,7 +178,7 @@
         if (candidate.hasAnsweredRelease != best.hasAnsweredRelease) {
             return candidate.hasAnsweredRelease;
         }
-        return best.activity.lastActivityNs() - candidate.activity.lastActivityNs() < 0;
+        return best.activity.lastReceivedNs() - candidate.activity.lastReceivedNs() < 0;
     }
 
     /**
--- a/src/main/java/martenslip/platform/caller/ConnectionActivity.java
+++ b/src/main/java/martenslip/platform/caller/ConnectionActivity.java
@@ -25,17 +25,20 @@
     static final int MAX_UNACKNOWLEDGED = 256;
 
     private int openSetUps;
+    private long lastReceivedNs;
     private long lastActivityNs;
     /** The time of each 200 whose ACK has not been read, by Call-ID, the oldest first. */
     private final Map<String, Long> answerTimesNs = new LinkedHashMap<>();
 
     /** The activity of a connection that was accepted at this time. */
     ConnectionActivity(long acceptedNs) {
+        lastReceivedNs = acceptedNs;
         lastActivityNs = acceptedNs;
     }
 
     /** A whole message was received. */
     synchronized void messageReceived(long nowNs) {
+        lastReceivedNs = nowNs;
         lastActivityNs = nowNs;
     }
 
@@ -97,6 +100,11 @@
         return isSettled(nowNs) && nowNs - lastActivityNs > MIN_IDLE.ns();
     }
 
+    /** The time of the last message received, or of the acceptance before the first. */
+    synchronized long lastReceivedNs() {
+        return lastReceivedNs;
+    }
+
     /** The time of the last message received or final response written. */
     synchronized long lastActivityNs() {
         return lastActivityNs;
--- a/src/test/java/martenslip/platform/caller/ConnectionActivityTest.java
+++ b/src/test/java/martenslip/platform/caller/ConnectionActivityTest.java
@@ -30,6 +30,16 @@
         assertTrue(activity.isIdle(5401 * MS));
     }
 
+    /** A release goes to the caller that was heard of last; what was written to a caller says nothing of it. */
+    @Test
+    public void anAnswerIsNoInput() {
+        ConnectionActivity activity = new ConnectionActivity(0);
+        activity.messageReceived(100 * MS);
+        activity.addSetUp();
+        activity.finalResponseWritten(callId, 5000 * MS);
+        assertEquals(activity.lastReceivedNs(), 100 * MS);
+    }
+
     @Test
     public void anAnswerAwaitsItsAckForALimitedTime() {
         ConnectionActivity activity = new ConnectionActivity(0);
