Connection.isUnused: unwritten output is judged in one place; tests without repeated parts

"Stalled, or nothing unsent and the condition" stood three times, in CallerConnection and in the idle timeout, which also looked at unread input twice. Connection judges its own output now (isUnused, closeIfUnused); callers add the set-ups only. Behaviour is unchanged. In the tests: one gated stream (Gate.guard), one prelude and one check for unwritten responses in IdleConnectionTest, one set of delegations (UntrackedOutboundMessages); no assertion is changed.

--- a/src/main/java/martenslip/platform/caller/CallerConnection.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnection.java
@@ -59,7 +59,7 @@
 
     /** Whether the connection may be closed to make room. Its unread input is not considered. */
     boolean isIdle() {
-        return connection.isWriteStalled() || !connection.hasUnsentOutput() && activity.isIdle(clock.getAsLong());
+        return connection.isUnused(this::isActivityIdle);
     }
 
     /**
@@ -67,20 +67,25 @@
      * does not count.
      */
     boolean hasPendingWork() {
-        return connection.hasUnreadInput() || !isSettled();
+        return connection.hasUnreadInput() || !connection.isUnused(this::isActivitySettled);
     }
 
-    private boolean isSettled() {
-        return connection.isWriteStalled() || !connection.hasUnsentOutput() && activity.isSettled(clock.getAsLong());
+    /** Whether no set-up is open and no ACK is awaited. */
+    boolean isActivitySettled() {
+        return activity.isSettled(clock.getAsLong());
+    }
+
+    private boolean isActivityIdle() {
+        return activity.isIdle(clock.getAsLong());
     }
 
     /** Closes the connection if it is idle and has no unread input; returns whether it did. */
     boolean closeIfIdle(String reason) {
-        return connection.closeIf(reason, this::isIdle);
+        return connection.closeIfUnused(reason, this::isActivityIdle);
     }
 
     /** Closes the connection if it has no pending work, however short it has been idle; returns whether it did. */
     boolean closeIfSettled(String reason) {
-        return connection.closeIf(reason, this::isSettled);
+        return connection.closeIfUnused(reason, this::isActivitySettled);
     }
 }
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -367,7 +367,7 @@
         @Override
         public boolean isInUse(Connection connection) {
             CallerConnection caller = callers.get(connection.id());
-            return caller != null && caller.hasPendingWork();
+            return caller != null && !caller.isActivitySettled();
         }
     };
 
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -333,26 +333,32 @@
         }
     }
 
-    /** Whether messages are queued or being written. */
-    public synchronized boolean hasUnsentOutput() {
+    private boolean hasUnsentOutput() {
         return unsentBytes > 0 || !unsentMessages.isEmpty() || writeStartNanos != 0;
     }
 
     /** Whether the write in progress has taken longer than the limit: the peer does not read. */
-    public synchronized boolean isWriteStalled() {
+    private boolean isWriteStalled() {
         return writeStartNanos != 0
                 && System.nanoTime() - writeStartNanos
                         > limits.writeStallTimeout().ns();
     }
 
     /**
-     * Closes the connection if it has no unread input and the condition holds; returns whether it did. No input is
-     * handled and no message queued between the check and the close. The condition is evaluated under the lock of this
-     * connection.
+     * Whether nothing is queued or being written and the condition holds, or the peer has not read for the write stall
+     * timeout. Unread input is not considered. The condition is evaluated under the lock of this connection.
      */
-    public boolean closeIf(String reason, BooleanSupplier condition) {
+    public synchronized boolean isUnused(BooleanSupplier condition) {
+        return isWriteStalled() || !hasUnsentOutput() && condition.getAsBoolean();
+    }
+
+    /**
+     * Closes the connection if it has no unread input and {@link #isUnused}; returns whether it did. No input is handled
+     * and no message queued between the check and the close.
+     */
+    public boolean closeIfUnused(String reason, BooleanSupplier condition) {
         synchronized (this) {
-            if (closed || hasUnreadInput() || !condition.getAsBoolean()) {
+            if (closed || hasUnreadInput() || !isUnused(condition)) {
                 return false;
             }
             closed = true;
@@ -467,7 +473,7 @@
     /**
      * Reads what has arrived, at least one byte, and marks it as being handled; returns -1 at the end of the stream.
      *
-     * <p>On a connection that {@link #closeIf} may close, the first byte is read alone. The rest stays visible as unread
+     * <p>On a connection that {@link #closeIfUnused} may close, the first byte is read alone. The rest stays visible as unread
      * input until it is marked, so no message is overlooked that was read but not marked yet.
      */
     private int read(InputStream input) throws IOException {
@@ -498,7 +504,7 @@
             close(framer.hasPartialMessage() ? "a message took too long to arrive" : "no message came");
             return true;
         }
-        return closeIf("idle", () -> isWriteStalled() || !hasUnsentOutput() && !listener.isInUse(this));
+        return closeIfUnused("idle", () -> !listener.isInUse(this));
     }
 
     /**
--- a/src/test/java/martenslip/platform/GatedSockets.java
+++ b/src/test/java/martenslip/platform/GatedSockets.java
@@ -52,6 +52,17 @@
                 waitingCount--;
             }
         }
+
+        /** A stream whose writes of whole arrays pass this gate. */
+        public OutputStream guard(OutputStream stream) {
+            return new FilterOutputStream(stream) {
+                @Override
+                public void write(byte[] bytes) throws IOException {
+                    pass();
+                    out.write(bytes);
+                }
+            };
+        }
     }
 
     final Gate connect = new Gate();
@@ -70,13 +81,7 @@
 
             @Override
             public OutputStream getOutputStream() throws IOException {
-                return new FilterOutputStream(super.getOutputStream()) {
-                    @Override
-                    public void write(byte[] bytes) throws IOException {
-                        write.pass();
-                        out.write(bytes);
-                    }
-                };
+                return write.guard(super.getOutputStream());
             }
         };
     }
--- a/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
+++ b/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
@@ -4,7 +4,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.FilterInputStream;
-import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -185,13 +184,7 @@
 
         @Override
         public OutputStream getOutputStream() throws IOException {
-            return new FilterOutputStream(super.getOutputStream()) {
-                @Override
-                public void write(byte[] bytes) throws IOException {
-                    ownWrite.pass();
-                    out.write(bytes);
-                }
-            };
+            return ownWrite.guard(super.getOutputStream());
         }
     }
 
@@ -217,6 +210,14 @@
         return setUp;
     }
 
+    /** Sends a set-up; once it was received, the caller's last input is older than the time after which it is idle. */
+    private SetUpRequest receiveOldSetUp(Socket caller) throws Exception {
+        sendInvite(caller);
+        SetUpRequest setUp = nextSetUp();
+        advanceClock(Span.ofMillis(1500));
+        return setUp;
+    }
+
     private void advanceClock(Span span) {
         clockNs.addAndGet(span.ns());
     }
@@ -261,6 +262,14 @@
         }
     }
 
+    /** Waits for the response to reach the closed gate, seeks room, and checks that the response still arrives. */
+    private void assertUnwrittenResponseOutlasts(Occasion occasion, Socket caller) throws Exception {
+        write.awaitWaiting(1);
+        seekRoom(occasion);
+        write.open();
+        assertResponseIsReceived(caller);
+    }
+
     @DataProvider
     public Object[][] occasions() {
         return new Object[][] {{Occasion.NEW_CONNECTION}, {Occasion.FAILED_ACCEPT}, {Occasion.GRACEFUL_CLOSE}};
@@ -271,15 +280,10 @@
     public void anAnswerThatIsNotWrittenYetIsNotDiscarded(Occasion occasion) throws Exception {
         open();
         try (Socket caller = connect()) {
-            sendInvite(caller);
-            SetUpRequest setUp = nextSetUp();
-            advanceClock(Span.ofMillis(1500));
+            SetUpRequest setUp = receiveOldSetUp(caller);
             write.close();
             assertTrue(callers.sendAnswer(setUp.connectionId(), setUp.tag(), RESPONSE));
-            write.awaitWaiting(1);
-            seekRoom(occasion);
-            write.open();
-            assertResponseIsReceived(caller);
+            assertUnwrittenResponseOutlasts(occasion, caller);
         }
     }
 
@@ -288,15 +292,10 @@
     public void aRefusalThatIsNotWrittenYetIsNotDiscarded(Occasion occasion) throws Exception {
         open();
         try (Socket caller = connect()) {
-            sendInvite(caller);
-            SetUpRequest setUp = nextSetUp();
-            advanceClock(Span.ofMillis(1500));
+            SetUpRequest setUp = receiveOldSetUp(caller);
             write.close();
             callers.sendRefusal(setUp.connectionId(), setUp.tag(), RESPONSE);
-            write.awaitWaiting(1);
-            seekRoom(occasion);
-            write.open();
-            assertResponseIsReceived(caller);
+            assertUnwrittenResponseOutlasts(occasion, caller);
         }
     }
 
@@ -310,9 +309,7 @@
             sendInvite(caller);
             write.awaitWaiting(1);
             advanceClock(Span.ofMillis(1500));
-            seekRoom(occasion);
-            write.open();
-            assertResponseIsReceived(caller);
+            assertUnwrittenResponseOutlasts(occasion, caller);
         }
     }
 
@@ -321,9 +318,7 @@
     public void aConnectionIsNotClosedBeforeTheAckWasRead(Occasion occasion) throws Exception {
         open();
         try (Socket caller = connect()) {
-            sendInvite(caller);
-            SetUpRequest setUp = nextSetUp();
-            advanceClock(Span.ofMillis(1500));
+            SetUpRequest setUp = receiveOldSetUp(caller);
             callers.sendAnswer(setUp.connectionId(), setUp.tag(), RESPONSE);
             assertResponseIsReceived(caller);
             seekRoom(occasion);
--- a/src/test/java/martenslip/platform/contact/CheckedOutboundMessages.java
+++ b/src/test/java/martenslip/platform/contact/CheckedOutboundMessages.java
@@ -4,7 +4,7 @@
 import martenslip.RuleChecker;
 
 /** The messages of a contact table in a model, checked: whatever the rules do not expect is a violation. */
-abstract class CheckedOutboundMessages implements OutboundMessages {
+abstract class CheckedOutboundMessages implements UntrackedOutboundMessages {
     final RuleChecker rules;
     private final Set<String> allowedLogKinds;
 
@@ -22,21 +22,6 @@
         return 1;
     }
 
-    @Override
-    public boolean sendAnswer(long connectionId, String tag, byte[] message) {
-        return sendToCaller(connectionId, message);
-    }
-
-    @Override
-    public void sendRefusal(long connectionId, String tag, byte[] message) {
-        sendToCaller(connectionId, message);
-    }
-
-    @Override
-    public void setUpEnded(long connectionId, String tag) {
-        // Needed by the caller connections only; no test checks it.
-    }
-
     @Override
     public void disconnect(long connectionId, String reason) {
         rules.addViolation("line", "disconnected: " + reason);
--- a/src/test/java/martenslip/platform/contact/ContactTableHarness.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableHarness.java
@@ -24,7 +24,7 @@
  * A contact table on simulated time. What it sends, and the events it reports to a module that decides nothing, are
  * kept as lines of text.
  */
-final class ContactTableHarness implements OutboundMessages, Controller {
+final class ContactTableHarness implements UntrackedOutboundMessages, Controller {
     static final long SWITCH_ID = 7;
     static final long SWITCH_CONNECTION_ID = 40;
     static final ContactSettings SETTINGS =
@@ -159,21 +159,6 @@
                 .orElse(otherCallerConnection);
     }
 
-    @Override
-    public boolean sendAnswer(long connectionId, String tag, byte[] message) {
-        return sendToCaller(connectionId, message);
-    }
-
-    @Override
-    public void sendRefusal(long connectionId, String tag, byte[] message) {
-        sendToCaller(connectionId, message);
-    }
-
-    @Override
-    public void setUpEnded(long connectionId, String tag) {
-        // Needed by the caller connections only; no test checks it.
-    }
-
     @Override
     public void disconnect(long connectionId, String reason) {
         sent.add(connectionId + ": disconnected");
