serve: log and count where contacts stand when a switch's process is replaced

Change: connections to switches are numbered in the order in which they come up; a contact keeps the number of the one that brought its answer; process-over, process-kept and unconfirmed lines, and unconfirmed= in counts. The tests that allow only known log kinds know process-over. Result: the interleaving tests, ContactTableTest and SwitchConnectionsTest pass.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -236,7 +236,9 @@
                 contactTable.counters() + " open=" + contactTable.openCount() + " standing="
                         + contactTable.establishedCount() + " unheard="
                         + contactTable.unacknowledgedReleaseCount() + " unclaimed-ends="
-                        + contactTable.unclaimedEndCount() + " lines=" + callerConnections.connectionCount()
+                        + contactTable.unclaimedEndCount() + " unconfirmed="
+                        + contactTable.countUnconfirmed(switchConnections::oldestConnectionNumber) + " lines="
+                        + callerConnections.connectionCount()
                         + " switch-lines="
                         + switchConnections.connectionCount()
                         + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " drops="
@@ -409,8 +411,8 @@
 
     private final SwitchConnections.Listener switchListener = new SwitchConnections.Listener() {
         @Override
-        public void started(long switchId, long switchConnectionId, String tag, String description) {
-            contactTable.started(switchId, switchConnectionId, tag, description);
+        public void started(long switchId, long connectionNumber, String tag, String description) {
+            contactTable.started(switchId, connectionNumber, tag, description);
         }
 
         @Override
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import martenslip.control.Contact;
 import martenslip.control.Controller;
 import martenslip.control.Moment;
@@ -89,6 +90,15 @@
         return establishedContacts.hasContactsAt(switchId);
     }
 
+    /**
+     * The number of established contacts of whose process no connection is left; each is logged once.
+     *
+     * @param oldestConnectionNumber gives the lowest number of a switch's established connections
+     */
+    public int countUnconfirmed(LongUnaryOperator oldestConnectionNumber) {
+        return establishedContacts.countUnconfirmed(oldestConnectionNumber);
+    }
+
     /** The number of releases that callers have not acknowledged yet. */
     public int unacknowledgedReleaseCount() {
         return releaseSender.pendingCount();
@@ -207,7 +217,7 @@
         contact.isAcknowledged = true;
         contact.attempt = new TrackedContact.Attempt(TrackedContact.INHERITED, switchId, null, wheel.now());
         contactsByTag.put(contact.tag, contact);
-        establishedContacts.add(contact, wheel.now());
+        establishedContacts.add(contact, 0, wheel.now());
         counters.inherited++;
     }
 
@@ -295,8 +305,13 @@
 
     // ---- events from switches
 
-    /** A switch has answered a START; {@code description} is null where the answer could not be read or has none. */
-    public void started(long switchId, long switchConnectionId, String tag, String description) {
+    /**
+     * A switch has answered a START.
+     *
+     * @param connectionNumber rank of the connection in the order in which connections to switches were established
+     * @param description null where the answer could not be read or has none
+     */
+    public void started(long switchId, long connectionNumber, String tag, String description) {
         TrackedContact contact = contactsByTag.get(tag);
         if (contact == null || contact.isEstablished || !isAwaitingAnswerFrom(contact, switchId)) {
             return;
@@ -319,7 +334,7 @@
         contact.attempt.timeLimitTimer.cancel();
         inFlightById.remove(contact.id);
         closeSetUp(contact);
-        establishedContacts.add(contact, wheel.now());
+        establishedContacts.add(contact, connectionNumber, wheel.now());
         counters.established++;
         boolean delivered = outbound.sendAnswer(
                 contact.callerConnectionId,
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 import martenslip.control.Moment;
 import martenslip.control.RingEndCause;
@@ -40,15 +41,48 @@
         return contactsByTag.values().stream().anyMatch(contact -> contact.switchId() == switchId);
     }
 
-    /** Adds a contact that has just been established; its set-up request is no longer kept. */
-    void add(TrackedContact contact, Moment now) {
+    /**
+     * Adds a contact that has just been established; its set-up request is no longer kept.
+     *
+     * @param connectionNumber of the switch's connection that brought the answer; 0 for an inherited contact
+     */
+    void add(TrackedContact contact, long connectionNumber, Moment now) {
         contact.isEstablished = true;
+        contact.connectionNumber = connectionNumber;
         contact.establishedAt = now;
         contact.establishedSwitchId = contact.attempt.switchId;
         contact.setUpRequest = null;
         contactsByTag.put(contact.tag, contact);
     }
 
+    /**
+     * The number of contacts that stand though no connection to their switch is left that was up at the time of the
+     * answer. Nothing but the switch list or a release then tells of their end. Each is logged once.
+     *
+     * @param oldestConnectionNumber gives the lowest number of a switch's established connections
+     */
+    int countUnconfirmed(LongUnaryOperator oldestConnectionNumber) {
+        int count = 0;
+        for (TrackedContact contact : contactsByTag.values()) {
+            long oldestNumber = oldestConnectionNumber.applyAsLong(contact.switchId());
+            boolean isInheritedWithConnection = contact.isInherited() && oldestNumber != Long.MAX_VALUE;
+            if (isInheritedWithConnection || contact.connectionNumber >= oldestNumber) {
+                continue;
+            }
+            count++;
+            if (!contact.isLoggedAsUnconfirmed) {
+                contact.isLoggedAsUnconfirmed = true;
+                outbound.log("unconfirmed", describe(contact) + "; no connection of that time is left");
+            }
+        }
+        return count;
+    }
+
+    private static String describe(TrackedContact contact) {
+        return contact.tag + " stands at switch " + contact.switchId() + ", answered on connection "
+                + contact.connectionNumber;
+    }
+
     /** The caller has acknowledged the 200 response. */
     void acknowledged(String tag) {
         TrackedContact contact = contactsByTag.get(tag);
@@ -120,9 +154,13 @@
         List<TrackedContact> ended =
                 contactsMatching(contact -> contact.switchId() == switchId && isOver.test(contact));
         for (TrackedContact contact : ended) {
+            outbound.log("process-over", describe(contact) + "; its process has ended");
             sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
             contactEnded(contact, RingEndCause.CUT, NO_REPORT);
         }
+        contactsMatching(contact -> contact.switchId() == switchId)
+                .forEach(
+                        contact -> outbound.log("process-kept", describe(contact) + "; taken to be the new process's"));
         if (!ended.isEmpty()) {
             outbound.log(
                     "switch-over",
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -53,6 +53,10 @@
     boolean isEstablished;
     boolean isAcknowledged;
     Moment establishedAt;
+    /** Number of the switch's connection that brought the answer; 0 for an inherited contact. */
+    long connectionNumber;
+    /** Whether the operators' log has told that no connection of the time of the answer is left. */
+    boolean isLoggedAsUnconfirmed;
     /** Where the contact stands: another switch than that of its attempt if that has taken its address. */
     long establishedSwitchId;
 
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
@@ -16,6 +16,9 @@
 
     boolean established;
     Moment establishedAt;
+    /** Rank among the connections to all switches in the order in which they were established; 0 before. */
+    long number;
+
     /** The connection whose LOAD messages count; read by the reading threads. */
     volatile boolean primary;
     /** The newest LOAD that was read and not yet handled, or that is kept while another connection is primary. */
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -41,8 +41,13 @@
 
     /** Called on the decision thread. */
     public interface Listener {
-        /** The switch has established the contact (STARTED); {@code description} may be null. */
-        void started(long switchId, long connectionId, String tag, String description);
+        /**
+         * The switch has established the contact (STARTED).
+         *
+         * @param connectionNumber rank of the connection in the order in which connections to switches were established
+         * @param description may be null
+         */
+        void started(long switchId, long connectionNumber, String tag, String description);
 
         /**
          * The switch has ended the contact (FINISH).
@@ -108,6 +113,7 @@
     private final Map<Long, SwitchEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<Long, SwitchConnection> connections = new ConcurrentHashMap<>();
     private long lastConnectionId;
+    private long lastConnectionNumber;
     private boolean closing;
 
     /** {@code socketFactory} creates an unconnected socket for each connection. */
@@ -262,6 +268,18 @@
         return connections.size();
     }
 
+    /** The number of the switch's oldest established connection; {@link Long#MAX_VALUE} if it has none. */
+    public long oldestConnectionNumber(long switchId) {
+        SwitchEndpoint endpoint = endpoints.get(switchId);
+        return endpoint == null
+                ? Long.MAX_VALUE
+                : endpoint.connections.stream()
+                        .filter(connection -> connection.established)
+                        .mapToLong(connection -> connection.number)
+                        .min()
+                        .orElse(Long.MAX_VALUE);
+    }
+
     /**
      * Connections that the switches may need: for each that is listed and not draining its own, those of a switch that
      * takes its place, and one probe; for each other its own.
@@ -473,6 +491,7 @@
         }
         connection.established = true;
         connection.establishedAt = timerWheel.now();
+        connection.number = ++lastConnectionNumber;
         connection.endpoint.retryPause = Span.ZERO;
         connection.endpoint.liveness.signalReceived(timerWheel.now());
         if (connection.probe) {
@@ -514,7 +533,10 @@
         boolean wasPrimary = endpoint.connections.indexOf(connection) == 0;
         endpoint.connections.remove(connection);
         listener.log("switch " + endpoint.id + " at " + endpoint.address
-                + (transportConnection.wasEstablished() ? ": " : ", never established: ") + reason);
+                + (transportConnection.wasEstablished()
+                        ? ", connection " + connection.number + ": "
+                        : ", never established: ")
+                + reason);
         if (!transportConnection.wasEstablished()) {
             endpoint.connectFailed = true;
             endpoint.liveness.connectFailed(timerWheel.now());
@@ -584,7 +606,7 @@
             return;
         }
         switch (message.verb()) {
-            case "STARTED" -> listener.started(endpoint.id, connectionId, message.tag(), message.description());
+            case "STARTED" -> listener.started(endpoint.id, connection.number, message.tag(), message.description());
             case "FINISH" ->
                 listener.ended(
                         endpoint.id,
--- a/src/test/java/martenslip/platform/contact/ContactTableModel.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableModel.java
@@ -54,7 +54,7 @@
 
     /** {@code releaseTime} is the one that the rules require; the module is given 300 ms. */
     ContactTableModel(Scenario scenario, Span releaseTime) {
-        super(new RuleChecker(Span.ofMillis(2000), releaseTime, Span.ofMillis(10_000)), "switch-over");
+        super(new RuleChecker(Span.ofMillis(2000), releaseTime, Span.ofMillis(10_000)), "switch-over", "process-over");
         this.scenario = scenario;
         contactTable = new ContactTable(
                 wheel,
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -443,10 +443,22 @@
     public void contactsOfAProcessThatEndedAreReleased() {
         establish();
         contactTable.switchProcessEnded(SWITCH_ID, null);
-        assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=41", "log switch-over"));
+        assertEquals(harness.takeSent(), List.of("log process-over", "1: BYE Q.850;cause=41", "log switch-over"));
         assertEquals(harness.takeNotifications(), List.of("ring ended 1 0 CUT NONE true"));
     }
 
+    /** Guards against report 9d16c4: nothing told of calls whose process had gone with all its connections. */
+    @Test
+    public void aContactIsUnconfirmedOnceNoConnectionOfTheTimeOfItsAnswerIsLeft() {
+        establish();
+        assertEquals(contactTable.countUnconfirmed(switchId -> SWITCH_CONNECTION_ID), 0);
+        harness.takeSent();
+        assertEquals(contactTable.countUnconfirmed(switchId -> SWITCH_CONNECTION_ID + 1), 1);
+        assertEquals(harness.takeSent(), List.of("log unconfirmed"));
+        assertEquals(contactTable.countUnconfirmed(switchId -> Long.MAX_VALUE), 1);
+        assertEquals(harness.takeSent(), List.of(), "each is logged once");
+    }
+
     @Test
     public void contactsEstablishedAfterTheRestartRemain() {
         harness.advanceToMs(1000);
--- a/src/test/java/martenslip/platform/contact/RestartModel.java
+++ b/src/test/java/martenslip/platform/contact/RestartModel.java
@@ -70,6 +70,7 @@
                 "named",
                 "release",
                 "switch-over",
+                "process-over",
                 "unheard");
         this.plantedFault = plantedFault;
         contactTable = new ContactTable(
--- a/src/test/java/martenslip/platform/contact/WriteQueueModel.java
+++ b/src/test/java/martenslip/platform/contact/WriteQueueModel.java
@@ -69,7 +69,11 @@
     private int offeredCount;
 
     WriteQueueModel(Scenario scenario, InjectedFault injectedFault) {
-        super(new RuleChecker(Span.ZERO, Span.ofMillis(300), Span.ofMillis(10_000)), "switch-over", "unsure");
+        super(
+                new RuleChecker(Span.ZERO, Span.ofMillis(300), Span.ofMillis(10_000)),
+                "switch-over",
+                "process-over",
+                "unsure");
         this.scenario = scenario;
         this.injectedFault = injectedFault;
         isConnected = scenario.connectedAtStart;
