--- a/src/main/java/martenslip/platform/SwitchRegistry.java
+++ b/src/main/java/martenslip/platform/SwitchRegistry.java
@@ -112,7 +112,7 @@
         for (SwitchListEvent.Entry entry : entries) {
             listedIds.add(entry.id());
             if (entry.state() != SwitchEntry.State.GONE) {
-                register(entry, restarted);
+                register(entry, restarted, now);
             }
         }
         Set<String> removedIds = removedIds(kind, entries, listedIds);
@@ -139,7 +139,7 @@
         return registered != null && !registered.replaced;
     }
 
-    private void register(SwitchListEvent.Entry entry, Map<Long, Moment> restarted) {
+    private void register(SwitchListEvent.Entry entry, Map<Long, Moment> restarted, Moment now) {
         RegisteredSwitch previous = switchesById.get(entry.id());
         if (previous != null && previous.replaced) {
             if (!previous.isSucceededBy(entry)) {
@@ -157,7 +157,14 @@
         log.write(
                 "list",
                 entry.id() + " is switch " + registered.switchId + ", number " + entry.number() + ", " + entry.state()
-                        + " at " + entry.address() + " since " + entry.startedAtMs());
+                        + " at " + entry.address() + " since " + describeStart(entry, now));
+    }
+
+    private String describeStart(SwitchListEvent.Entry entry, Moment now) {
+        Moment startedAt = startedAt(entry);
+        return startedAt == null
+                ? "0"
+                : entry.startedAtMs() + ", " + now.since(startedAt).ns() / 1_000_000 + " ms ago";
     }
 
     private Set<String> removedIds(ListKind kind, List<SwitchListEvent.Entry> entries, Set<String> listedIds) {
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -31,6 +32,7 @@
  */
 final class PlatformStandIn implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
+    private static final int MAX_BIND_ATTEMPTS = 100_000;
     private static final long REPORT_INTERVAL_NS = 100_000_000;
     private static final byte[] ECHOED_LINE =
             "{\"verb\":\"ECHOED\",\"tag\":\"\",\"opts\":{},\"rc\":1}\n".getBytes(StandardCharsets.UTF_8);
@@ -224,6 +226,12 @@
             listener.close();
         }
 
+        /** The machine disappears: its open connections carry nothing more from it. */
+        void fallSilent() {
+            stopReporting();
+            answersTests = false;
+        }
+
         void resetConnections() throws IOException {
             for (Socket connection : connections) {
                 reset(connection);
@@ -438,6 +446,26 @@
         throw new AssertionError("the controller was not ready in time");
     }
 
+    /**
+     * Starts another switch's process at the address of one that has stopped listening; the port is free a moment after
+     * the close of the old listener.
+     */
+    SwitchStandIn startSwitchAtAddressOf(SwitchStandIn oldSwitch) throws IOException {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                SwitchStandIn newSwitch = new SwitchStandIn(oldSwitch.port());
+                newSwitch.answersTests = true;
+                newSwitch.startReporting();
+                return newSwitch;
+            } catch (BindException e) {
+                if (attempt == MAX_BIND_ATTEMPTS) {
+                    throw e;
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     List<SwitchStandIn> startSwitches(int count) throws IOException {
         List<SwitchStandIn> switches = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/src/test/java/martenslip/platform/ProcessSignalsTest.java
+++ b/src/test/java/martenslip/platform/ProcessSignalsTest.java
@@ -5,11 +5,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,7 +13,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import martenslip.platform.PlatformStandIn.CallerConnection;
 import martenslip.platform.PlatformStandIn.ReceivedMessage;
 import martenslip.platform.PlatformStandIn.SwitchStandIn;
@@ -35,9 +30,7 @@
     private List<SwitchStandIn> switches;
     private PlatformStandIn.JournalStandIn journal;
     private Path configurationFile;
-    private int port;
-    private Process process;
-    private BufferedReader processOutput;
+    private ControllerProcess process;
 
     @BeforeMethod
     public void startProcess() throws Exception {
@@ -45,11 +38,9 @@
         switches = platform.startSwitches(2);
         journal = platform.new JournalStandIn();
         journal.addEvent(initialSwitchList());
-        try (ServerSocket freeSocket = new ServerSocket(0)) {
-            port = freeSocket.getLocalPort();
-        }
+        process = new ControllerProcess();
         configurationFile = PlatformStandIn.writeTemporary(configuration(journal));
-        launch();
+        process.launch(configurationFile);
     }
 
     private String initialSwitchList() {
@@ -61,75 +52,42 @@
     }
 
     private String configuration(PlatformStandIn.JournalStandIn journal) {
-        return PlatformStandIn.configuration(journal.port(), initialSwitchList())
-                .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
-    }
-
-    private void launch() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "martenslip.cli.Main",
-                "serve");
-        builder.environment().put("ROUTER_CONFIG", configurationFile.toString());
-        process = builder.redirectErrorStream(true).start();
-        processOutput = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        return process.configured(PlatformStandIn.configuration(journal.port(), initialSwitchList()));
     }
 
     @AfterMethod
     public void stopProcess() throws Exception {
-        process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        process.close();
         platform.close();
     }
 
-    /** Reads the log up to the next line of this kind; the time-out of the test limits the wait. */
-    private String awaitLogLine(String kind) throws IOException {
-        String line = processOutput.readLine();
-        while (line != null && !line.contains(" " + kind + ": ")) {
-            line = processOutput.readLine();
-        }
-        assertTrue(line != null, "the process ended without a log line of kind " + kind);
-        return line;
-    }
-
-    private void signal(String name) throws Exception {
-        assertEquals(
-                new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
-                        .start()
-                        .waitFor(),
-                0);
-    }
-
     private CallerConnection connectCaller() throws IOException {
-        return platform.new CallerConnection(new InetSocketAddress("127.0.0.1", port));
+        return platform.new CallerConnection(process.listenAddress());
     }
 
     @Test(timeOut = 60_000)
     public void aReloadFollowedAtOnceByShutdown() throws Exception {
-        awaitLogLine("ready");
+        process.awaitLogLine("ready");
         PlatformStandIn.JournalStandIn newJournal = platform.new JournalStandIn();
         newJournal.addEvent(initialSwitchList());
         Files.writeString(configurationFile, configuration(newJournal));
         CallerConnection connection = connectCaller().invite(CALL_ID, "dear", 3000, "m=audio");
         ReceivedMessage start = switches.get(1).next("START");
-        signal("HUP");
-        signal("TERM");
+        process.signal("HUP");
+        process.signal("TERM");
         assertEquals(
                 newJournal.nextRequestedPosition(),
                 1,
                 "the journal of the reload is requested during the shutdown too");
-        awaitLogLine("term");
+        process.awaitLogLine("term");
         start.started("m=audio 1");
         assertTrue(connection.next().startsWith("SIP/2.0 200 "));
         connection.send(CallerConnection.message("ACK", CALL_ID, "", ""));
         CallerConnection lateConnection = connectCaller().invite("9b1f03aa5c7e2d42", "dear", 3000, "m=audio");
         switches.get(1).next("START").started("m=audio 2");
         assertTrue(lateConnection.next().startsWith("SIP/2.0 200 "), "set-ups are still accepted right after SIGTERM");
-        awaitLogLine("end");
-        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
-        assertEquals(process.exitValue(), 0);
+        process.awaitLogLine("end");
+        assertEquals(process.awaitExit(), 0);
     }
 
     /**
@@ -138,14 +96,13 @@
      */
     @Test(timeOut = 60_000)
     public void contactsAreTakenOverAfterAKillRightAfterAccept() throws Exception {
-        awaitLogLine("ready");
+        process.awaitLogLine("ready");
         CallerConnection connection = connectCaller();
         connection.send(CallerConnection.message("INVITE", CALL_ID, "Routing-Data: at:s-1\r\n", ""));
-        signal("KILL");
-        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        process.kill();
         int connectionCount = switches.get(1).connections.size();
-        launch();
-        awaitLogLine("ready");
+        process.relaunch();
+        process.awaitLogLine("ready");
         CallerConnection newConnection = connectCaller();
         newConnection.send(CallerConnection.message("INVITE", CALL_ID, "Routing-Data: at:s-1\r\n", ""));
         newConnection.send(
@@ -160,7 +117,7 @@
     }
 
     private CallerConnection establishThroughTheProcess() throws Exception {
-        awaitLogLine("ready");
+        process.awaitLogLine("ready");
         CallerConnection connection = connectCaller().invite(CALL_ID, "dear", 3000, "m=audio");
         switches.get(1).next("START").started("m=audio 1");
         assertTrue(connection.next().startsWith("SIP/2.0 200 "));
@@ -169,10 +126,9 @@
     }
 
     private void killAndLaunch() throws Exception {
-        signal("KILL");
-        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
-        launch();
-        awaitLogLine("ready");
+        process.kill();
+        process.relaunch();
+        process.awaitLogLine("ready");
     }
 
     /**
@@ -181,22 +137,22 @@
      */
     @Test(timeOut = 60_000)
     public void withShortDeadlinesAllIsAnsweredAndTheProcessEndsBeforeTheKill() throws Exception {
-        process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        process.close();
         Files.writeString(
                 configurationFile,
                 configuration(journal).replace("\"hard-limit-ns\":9000000000", "\"hard-limit-ns\":500000000"));
-        launch();
-        awaitLogLine("ready");
+        process.relaunch();
+        process.awaitLogLine("ready");
         CallerConnection connection = connectCaller();
         SetUpStream setUps = new SetUpStream(connection);
         setUps.sendFor(300);
-        signal("TERM");
+        process.signal("TERM");
         long sigtermNs = System.nanoTime();
         setUps.sendFor(5000);
-        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        int exitCode = process.awaitExit();
         long endMs = (System.nanoTime() - sigtermNs) / 1_000_000;
         assertTrue(endMs < 1200, "the process ended " + endMs + " ms after SIGTERM");
-        assertEquals(process.exitValue(), 0);
+        assertEquals(exitCode, 0);
         assertEquals(
                 setUps.unansweredBefore(50), List.of(), "set-ups without an answer, those crossing the close aside");
         assertTrue(setUps.answeredCount() > 50, "answered: " + setUps.answeredCount());
@@ -291,14 +247,13 @@
      */
     @Test(timeOut = 60_000)
     public void aTermBeforeServiceEndsTheProcess() throws Exception {
-        signal("TERM");
-        assertTrue(process.waitFor(20, TimeUnit.SECONDS), "ended neither by the JVM nor by the program");
-        launch();
-        awaitLogLine("ready");
-        signal("HUP");
-        awaitLogLine("reload");
-        signal("TERM");
-        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
-        assertEquals(process.exitValue(), 0);
+        process.signal("TERM");
+        process.awaitExit();
+        process.relaunch();
+        process.awaitLogLine("ready");
+        process.signal("HUP");
+        process.awaitLogLine("reload");
+        process.signal("TERM");
+        assertEquals(process.awaitExit(), 0);
     }
 }
--- a/src/test/java/martenslip/platform/ReplacedSwitchTest.java
+++ b/src/test/java/martenslip/platform/ReplacedSwitchTest.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.BindException;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.List;
@@ -37,7 +36,6 @@
     /** As the list gives it for a process that did not start late; such a one is not cold either. */
     private static final long START_UNKNOWN = 0;
 
-    private static final int MAX_BIND_ATTEMPTS = 100_000;
     /** Shorter than any silence that is taken for an end. */
     private static final int QUIET_MS = 400;
 
@@ -107,26 +105,10 @@
         assertEquals(switchStandIn.connections.size(), count, "connections of the controller to this switch");
     }
 
-    /** Starts the new process; the old listener's port is free a moment after its close. */
-    private SwitchStandIn startAtOldAddress() throws IOException {
-        for (int attempt = 1; ; attempt++) {
-            try {
-                SwitchStandIn newSwitch = platform.new SwitchStandIn(oldSwitch.port());
-                newSwitch.startReporting();
-                return newSwitch;
-            } catch (BindException e) {
-                if (attempt == MAX_BIND_ATTEMPTS) {
-                    throw e;
-                }
-                Thread.onSpinWait();
-            }
-        }
-    }
-
     /** Stops the old process; the next one listens before the controller connects again, so nothing is refused. */
     private SwitchStandIn replaceWithoutRefusal() throws IOException {
         oldSwitch.stopListening();
-        SwitchStandIn newSwitch = startAtOldAddress();
+        SwitchStandIn newSwitch = platform.startSwitchAtAddressOf(oldSwitch);
         oldSwitch.resetConnections();
         return newSwitch;
     }
@@ -195,7 +177,7 @@
         for (int i = 0; i < 1000 && sockets.createdCount.get() < socketsBefore + 4; i++) {
             Thread.sleep(5);
         }
-        startAtOldAddress();
+        platform.startSwitchAtAddressOf(oldSwitch);
         assertReleased(CALL_ID);
     }
 
