serve: date a switch's start by clocks read together, not by the loop's first turn

Callers saw: calls answered in the last moments of a switch's old process were never released. Cause: the offset between Unix and program clock took TimerWheel.now(), which stands still from the creation of the event loop until its first turn, and the Unix clock once the program had started. So every startedAtMs was dated early by the time of the start, and calls of the old process counted as answered after it. Class: a time taken from a cached clock. Change: UnixClockOffset reads both clocks side by side. Also concerned: the age of a cold switch, which was taken for older than it was. Calls answered after the start still fail: another fault.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -138,8 +138,7 @@
                 contactTable,
                 switchConnections,
                 settings.getOrDefault("zones", ""),
-                wheel.now(),
-                System.currentTimeMillis(),
+                UnixClockOffset.measure(System::currentTimeMillis, System::nanoTime),
                 log);
         journal = new Journal(configuration.journalAddress(), configuration.initialPosition(), journalListener);
         boolean usesPeerNotes =
--- a/src/main/java/martenslip/platform/SwitchRegistry.java
+++ b/src/main/java/martenslip/platform/SwitchRegistry.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import martenslip.control.Controller.ListKind;
 import martenslip.control.Moment;
-import martenslip.control.Span;
 import martenslip.control.SwitchEntry;
 import martenslip.platform.contact.ContactTable;
 import martenslip.platform.journal.SwitchListEvent;
@@ -54,9 +53,7 @@
     private final ContactTable contactTable;
     private final SwitchConnections switchConnections;
     private final List<String> zones;
-    /** The program's monotonic clock minus the Unix clock, taken at the start. */
-    private final Span clockOffset;
-
+    private final UnixClockOffset unixClockOffset;
     private final RateLimitedLog log;
     private final Map<String, RegisteredSwitch> switchesById = new LinkedHashMap<>();
     private long lastSwitchId;
@@ -66,14 +63,13 @@
             ContactTable contactTable,
             SwitchConnections switchConnections,
             String zones,
-            Moment now,
-            long unixTimeMs,
+            UnixClockOffset unixClockOffset,
             RateLimitedLog log) {
         this.contactTable = contactTable;
         this.switchConnections = switchConnections;
         this.zones = Arrays.asList(zones.split(","));
+        this.unixClockOffset = unixClockOffset;
         this.log = log;
-        clockOffset = new Span(now.ns() - unixTimeMs * 1_000_000);
     }
 
     /** The number of a listed switch, or 0 where the id is not listed or its process has ended for good. */
@@ -239,6 +235,6 @@
 
     /** When the process started, on the program's clock; null if it did not start late. */
     private Moment startedAt(SwitchListEvent.Entry entry) {
-        return entry.startedAtMs() == 0 ? null : new Moment(entry.startedAtMs() * 1_000_000).plus(clockOffset);
+        return entry.startedAtMs() == 0 ? null : unixClockOffset.toMoment(entry.startedAtMs());
     }
 }
