serve: a call stands at the process behind the connection that brought its answer

Cause: a replacement or a restart under one id compared the time of the answer with a time of another machine. Class: the identity of a process is guessed from times where the connection knows it. Change: connections are numbered as they come up and a contact keeps its number. When the list tells of another process, connections that were up before its start reach the earlier one; others are tested (ECHO), and what replies reaches the new one (SuccessionCheck, no I/O or clock). Contacts answered on connections before the first of those are released; named ones stood at the earlier process. Without a connection to be tested this is decided at once, else within 1 s. Connections whose start is dated up to 1 s late count where all earlier ones had been lost. contactsEstablishedAfterTheRestartRemain compared times; three tests by connection replace it.

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -437,12 +437,12 @@
 
         @Override
         public void processEnded(long switchId) {
-            contactTable.switchProcessEnded(switchId, null);
+            contactTable.switchProcessEnded(switchId);
         }
 
         @Override
-        public void processReplaced(long switchId, long newSwitchId, Moment startedAt) {
-            contactTable.switchProcessReplaced(switchId, newSwitchId, startedAt);
+        public void processReplaced(long switchId, long newSwitchId, long firstConnectionNumber) {
+            contactTable.switchProcessReplaced(switchId, newSwitchId, firstConnectionNumber);
         }
 
         @Override
--- a/src/main/java/martenslip/platform/SwitchRegistry.java
+++ b/src/main/java/martenslip/platform/SwitchRegistry.java
@@ -119,7 +119,7 @@
                 .filter(entry -> !replacedIds.contains(entry.id()))
                 .toList();
         listedEntries.forEach(this::connect);
-        restarted.forEach(contactTable::switchProcessEnded);
+        restarted.forEach(switchConnections::processRestarted);
         contactTable.notifyController(controller -> controller.switchListReceived(now, kind, controllerEntries));
         removedIds.forEach(instanceId -> unlist(switchesById.remove(instanceId)));
         replacedIds.forEach(instanceId -> unlist(switchesById.get(instanceId)));
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -217,7 +217,7 @@
         contact.isAcknowledged = true;
         contact.attempt = new TrackedContact.Attempt(TrackedContact.INHERITED, switchId, null, wheel.now());
         contactsByTag.put(contact.tag, contact);
-        establishedContacts.add(contact, 0, wheel.now());
+        establishedContacts.add(contact, 0);
         counters.inherited++;
     }
 
@@ -334,7 +334,7 @@
         contact.attempt.timeLimitTimer.cancel();
         inFlightById.remove(contact.id);
         closeSetUp(contact);
-        establishedContacts.add(contact, connectionNumber, wheel.now());
+        establishedContacts.add(contact, connectionNumber);
         counters.established++;
         boolean delivered = outbound.sendAnswer(
                 contact.callerConnectionId,
@@ -438,20 +438,19 @@
         }
     }
 
-    /**
-     * The process of a switch has ended: contacts established there before the given moment, or all where it is null,
-     * end without a release of the switch.
-     */
-    public void switchProcessEnded(long switchId, Moment establishedBefore) {
-        establishedContacts.switchProcessEnded(switchId, establishedBefore);
+    /** The process of a switch has ended: contacts established there end without a release of the switch. */
+    public void switchProcessEnded(long switchId) {
+        establishedContacts.switchProcessEnded(switchId);
     }
 
     /**
-     * Another switch's process has the address of a switch: contacts established there before the other's start, or all
-     * where it is null, end without a release of the switch; the others stand at the other switch.
+     * Another process has followed at the address of a switch. Contacts answered on connections before the given number
+     * end without a release of the switch; the others stand at the process that has followed.
+     *
+     * @param newSwitchId the switch of that process; the same one if it was started again
      */
-    public void switchProcessReplaced(long switchId, long newSwitchId, Moment startedAt) {
-        establishedContacts.switchProcessReplaced(switchId, newSwitchId, startedAt);
+    public void switchProcessReplaced(long switchId, long newSwitchId, long firstConnectionNumber) {
+        establishedContacts.switchProcessReplaced(switchId, newSwitchId, firstConnectionNumber);
     }
 
     // ---- ends of contacts and attempts
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
-import martenslip.control.Moment;
 import martenslip.control.RingEndCause;
 
 /**
@@ -46,10 +45,9 @@
      *
      * @param connectionNumber of the switch's connection that brought the answer; 0 for an inherited contact
      */
-    void add(TrackedContact contact, long connectionNumber, Moment now) {
+    void add(TrackedContact contact, long connectionNumber) {
         contact.isEstablished = true;
         contact.connectionNumber = connectionNumber;
-        contact.establishedAt = now;
         contact.establishedSwitchId = contact.attempt.switchId;
         contact.setUpRequest = null;
         contactsByTag.put(contact.tag, contact);
@@ -128,26 +126,24 @@
         }
     }
 
-    /**
-     * Ends the contacts of a switch whose process has ended, as no release will come from it. Where a moment is given,
-     * only those that were established before it.
-     */
-    void switchProcessEnded(long switchId, Moment establishedBefore) {
-        endWithProcess(switchId, contact -> wasEstablishedBefore(contact, establishedBefore));
+    /** Ends the contacts of a switch whose process has ended, as no release will come from it. */
+    void switchProcessEnded(long switchId) {
+        endWithProcess(switchId, contact -> true);
     }
 
     /**
-     * Ends the contacts of a switch whose address another switch's process has. Where it is known when that started,
-     * those answered since stand there; one that its caller has named stood where the caller says.
+     * Ends the contacts of a switch whose process another one has followed at its address. A contact stands at the process
+     * at the other end of the connection that brought its answer: those answered on connections from the given number on
+     * stand at the process that has followed. One that its caller has named stood at the earlier process.
+     *
+     * @param newSwitchId the switch of the process that has followed; the same one if it was started again
      */
-    void switchProcessReplaced(long switchId, long newSwitchId, Moment startedAt) {
-        endWithProcess(switchId, contact -> contact.isInherited() || wasEstablishedBefore(contact, startedAt));
-        contactsMatching(contact -> contact.switchId() == switchId)
-                .forEach(contact -> contact.establishedSwitchId = newSwitchId);
-    }
-
-    private static boolean wasEstablishedBefore(TrackedContact contact, Moment moment) {
-        return moment == null || contact.establishedAt.before(moment);
+    void switchProcessReplaced(long switchId, long newSwitchId, long firstConnectionNumber) {
+        endWithProcess(switchId, contact -> contact.isInherited() || contact.connectionNumber < firstConnectionNumber);
+        for (TrackedContact contact : contactsMatching(contact -> contact.switchId() == switchId)) {
+            contact.establishedSwitchId = newSwitchId;
+            outbound.log("process-kept", describe(contact) + ", at the process that has followed switch " + switchId);
+        }
     }
 
     private void endWithProcess(long switchId, Predicate<TrackedContact> isOver) {
@@ -158,9 +154,6 @@
             sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
             contactEnded(contact, RingEndCause.CUT, NO_REPORT);
         }
-        contactsMatching(contact -> contact.switchId() == switchId)
-                .forEach(
-                        contact -> outbound.log("process-kept", describe(contact) + "; taken to be the new process's"));
         if (!ended.isEmpty()) {
             outbound.log(
                     "switch-over",
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -52,7 +52,6 @@
     boolean isOpen = true;
     boolean isEstablished;
     boolean isAcknowledged;
-    Moment establishedAt;
     /** Number of the switch's connection that brought the answer; 0 for an inherited contact. */
     long connectionNumber;
     /** Whether the operators' log has told that no connection of the time of the answer is left. */
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnection.java
@@ -18,6 +18,8 @@
     Moment establishedAt;
     /** Rank among the connections to all switches in the order in which they were established; 0 before. */
     long number;
+    /** When the last connection of those before it ended; null if there was always another one. */
+    Moment allLostAt;
 
     /** The connection whose LOAD messages count; read by the reading threads. */
     volatile boolean primary;
@@ -29,6 +31,9 @@
     /** When the last LOAD was read, written by the reading thread; 0 until then. */
     volatile long lastLoadNs;
 
+    /** Tests sent and not answered; each is answered in its turn. */
+    int unansweredTests;
+
     final ConnectionMonitor monitor = new ConnectionMonitor();
 
     SwitchConnection(Connection transportConnection, SwitchEndpoint endpoint) {
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -74,10 +74,12 @@
         void processEnded(long switchId);
 
         /**
-         * Another switch's process has the switch's address, so the switch's own has ended. Contacts established from
-         * {@code startedAt} on, if that is known, stand at the other switch.
+         * Another process has the switch's address, so the earlier one has ended. Contacts answered on connections from
+         * {@code firstConnectionNumber} on stand at the process that has followed.
+         *
+         * @param newSwitchId the switch of that process; the same one if it was started again
          */
-        void processReplaced(long switchId, long newSwitchId, Moment startedAt);
+        void processReplaced(long switchId, long newSwitchId, long firstConnectionNumber);
 
         /** Whether any contact is established at the switch. */
         boolean hasEstablishedContactsAt(long switchId);
@@ -169,10 +171,55 @@
         SwitchEndpoint listedEndpoint = endpoints.get(id);
         List.copyOf(endpoints.values()).stream()
                 .filter(endpoint -> !endpoint.listed && endpoint.address.equals(listedEndpoint.address))
-                .forEach(endpoint -> {
-                    removeReplaced(endpoint);
-                    listener.processReplaced(endpoint.id, id, startedAt);
-                });
+                .forEach(endpoint -> checkSuccession(endpoint, id, startedAt));
+    }
+
+    /** The process of a listed switch was started again at its address. */
+    public void processRestarted(long id, Moment startedAt) {
+        SwitchEndpoint endpoint = endpoints.get(id);
+        if (endpoint != null) {
+            checkSuccession(endpoint, id, startedAt);
+        }
+    }
+
+    /** Tests which connections to an address reach the process that has followed there. */
+    private void checkSuccession(SwitchEndpoint endpoint, long newSwitchId, Moment startedAt) {
+        SuccessionCheck check = new SuccessionCheck(startedAt);
+        endpoint.succession = new SwitchEndpoint.Succession(check, newSwitchId);
+        if (listener.hasEstablishedContactsAt(endpoint.id)) {
+            for (SwitchConnection connection : endpoint.connections) {
+                if (connection.isUsable()
+                        && check.mayReachPresentProcess(connection.establishedAt, connection.allLostAt)) {
+                    check.tested(connection.number);
+                    sendTest(connection);
+                }
+            }
+            timerWheel.scheduleAfter(SuccessionCheck.REPLY_TIMEOUT, () -> completeSuccession(endpoint, check));
+        }
+        completeSuccessionIfKnown(endpoint);
+    }
+
+    private void completeSuccessionIfKnown(SwitchEndpoint endpoint) {
+        if (endpoint.succession != null && endpoint.succession.check().isComplete()) {
+            completeSuccession(endpoint, endpoint.succession.check());
+        }
+    }
+
+    private void completeSuccession(SwitchEndpoint endpoint, SuccessionCheck check) {
+        SwitchEndpoint.Succession succession = endpoint.succession;
+        if (succession == null || succession.check() != check || endpoints.get(endpoint.id) != endpoint) {
+            return;
+        }
+        endpoint.succession = null;
+        if (succession.newSwitchId() == endpoint.id) {
+            List.copyOf(endpoint.connections).stream()
+                    .filter(connection -> connection.established && connection.number < check.firstNumber())
+                    .forEach(connection ->
+                            connection.transportConnection.close("reached the process before the restart"));
+        } else {
+            removeReplaced(endpoint);
+        }
+        listener.processReplaced(endpoint.id, succession.newSwitchId(), check.firstNumber());
     }
 
     /** Whether the process of a switch may still run; false for a switch that was never listed. */
@@ -237,7 +284,7 @@
             switch (action) {
                 case TEST -> {
                     drops.increment("switch line tested");
-                    connection.transportConnection.send(SwitchMessage.encodeEcho());
+                    sendTest(connection);
                 }
                 case CLOSE ->
                     connection.transportConnection.close("leaves a test unanswered while the switch is alive");
@@ -246,6 +293,20 @@
         }
     }
 
+    private static void sendTest(SwitchConnection connection) {
+        connection.unansweredTests++;
+        connection.transportConnection.send(SwitchMessage.encodeEcho());
+    }
+
+    private void testAnswered(SwitchConnection connection) {
+        connection.unansweredTests = Math.max(0, connection.unansweredTests - 1);
+        SwitchEndpoint endpoint = connection.endpoint;
+        if (endpoint.succession != null && connection.unansweredTests == 0) {
+            endpoint.succession.check().replied(connection.number);
+            completeSuccessionIfKnown(endpoint);
+        }
+    }
+
     /**
      * Whether each listed switch has reported the state of its group, or has been connected long enough to have
      * reported it: the switch of the own exchange has no group and reports nothing. Unreachable switches are ignored.
@@ -492,6 +553,7 @@
         connection.established = true;
         connection.establishedAt = timerWheel.now();
         connection.number = ++lastConnectionNumber;
+        connection.allLostAt = connection.endpoint.allLostAt;
         connection.endpoint.retryPause = Span.ZERO;
         connection.endpoint.liveness.signalReceived(timerWheel.now());
         if (connection.probe) {
@@ -547,6 +609,13 @@
                 && endpoint.connections.stream().noneMatch(other -> other.established)) {
             connectionRefused(endpoint);
         }
+        if (connection.established && endpoint.connections.stream().noneMatch(other -> other.established)) {
+            endpoint.allLostAt = timerWheel.now();
+        }
+        if (endpoint.succession != null) {
+            endpoint.succession.check().ended(connection.number);
+            completeSuccessionIfKnown(endpoint);
+        }
         if (wasPrimary && !endpoint.connections.isEmpty()) {
             makePrimary(endpoint.connections.get(0));
             reportGroupState(endpoint.connections.get(0));
@@ -618,7 +687,8 @@
                                 ? loadReportParser.parse(message.load())
                                 : loadReportParser.parseWithoutCircuits(message.load()));
             case "FINISHED" -> endpoint.pendingFinishes.remove(message.tag());
-            case "PENDING", "ECHOED" -> {}
+            case "ECHOED" -> testAnswered(connection);
+            case "PENDING" -> {}
             default -> {
                 drops.increment("a switch's line of an unknown type");
                 connection.transportConnection.close("unknown type");
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -20,6 +20,11 @@
     /** Whether the listener has the state of the switch's group; read by the reading threads. */
     volatile boolean groupStateReported;
 
+    /** When the last established connection ended; null until then. */
+    Moment allLostAt;
+    /** Finds out which connections reach the process that has followed; null while none has. */
+    Succession succession;
+
     boolean listed = true;
     boolean draining;
     /** A connection was refused, while no other was open, since the switch was last listed as not draining. */
@@ -39,6 +44,9 @@
         liveness = new LivenessMonitor(now);
     }
 
+    /** A running check, and the switch whose process is at the address now. */
+    record Succession(SuccessionCheck check, long newSwitchId) {}
+
     void list(boolean draining) {
         listed = true;
         this.draining = draining;
--- a/src/test/java/martenslip/platform/contact/ContactTableModel.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableModel.java
@@ -200,7 +200,7 @@
     private void endProcess() {
         endedProcessCount++;
         establishedContacts.values().removeIf(switchId -> switchId == 101);
-        contactTable.switchProcessEnded(101, null);
+        contactTable.switchProcessEnded(101);
     }
 
     @Override
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -10,7 +10,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import martenslip.control.Moment;
 import martenslip.control.Span;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -442,7 +441,7 @@
     @Test
     public void contactsOfAProcessThatEndedAreReleased() {
         establish();
-        contactTable.switchProcessEnded(SWITCH_ID, null);
+        contactTable.switchProcessEnded(SWITCH_ID);
         assertEquals(harness.takeSent(), List.of("log process-over", "1: BYE Q.850;cause=41", "log switch-over"));
         assertEquals(harness.takeNotifications(), List.of("ring ended 1 0 CUT NONE true"));
     }
@@ -459,12 +458,32 @@
         assertEquals(harness.takeSent(), List.of(), "each is logged once");
     }
 
+    /** Guards against report 9d16c4: it is the connection of the answer that tells at which process a contact stands. */
     @Test
-    public void contactsEstablishedAfterTheRestartRemain() {
-        harness.advanceToMs(1000);
+    public void contactsAnsweredOnAConnectionToTheNewProcessRemain() {
         establish();
-        contactTable.switchProcessEnded(SWITCH_ID, new Moment(Span.ofMillis(500).ns()));
+        contactTable.switchProcessReplaced(SWITCH_ID, SWITCH_ID, SWITCH_CONNECTION_ID);
         assertEquals(contactTable.establishedCount(), 1);
+        contactTable.switchProcessReplaced(SWITCH_ID, SWITCH_ID, SWITCH_CONNECTION_ID + 1);
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
+    @Test
+    public void aContactThatStandsAtTheSuccessorEndsByItsRelease() {
+        establish();
+        contactTable.switchProcessReplaced(SWITCH_ID, SWITCH_ID + 1, SWITCH_CONNECTION_ID);
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        assertEquals(contactTable.establishedCount(), 1, "the earlier process has nothing to say any more");
+        contactTable.ended(SWITCH_ID + 1, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
+    /** Its caller has named the contact at the earlier process; no connection brought its answer. */
+    @Test
+    public void aNamedContactEndsWithTheProcessThatIsReplaced() {
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
+        contactTable.switchProcessReplaced(SWITCH_ID, SWITCH_ID, 0);
+        assertEquals(contactTable.establishedCount(), 0);
     }
 
     /** Guards against report 038161: the end arrives before the contact is known. */
--- a/src/test/java/martenslip/platform/contact/RestartModel.java
+++ b/src/test/java/martenslip/platform/contact/RestartModel.java
@@ -105,7 +105,7 @@
             events.add(new Event("caller answers", this::callerAnswers));
         }
         if (switchProcessEnded && contactTable.establishedCount() > 0) {
-            events.add(new Event("silence is noticed", () -> contactTable.switchProcessEnded(SWITCH_ID, null)));
+            events.add(new Event("silence is noticed", () -> contactTable.switchProcessEnded(SWITCH_ID)));
         }
         for (Map.Entry<String, Runnable> event : remainingEvents.entrySet()) {
             events.add(new Event(event.getKey(), () -> {
@@ -188,14 +188,14 @@
 
     private void endSwitchProcess() {
         switchHolds = false;
-        contactTable.switchProcessEnded(SWITCH_ID, null);
+        contactTable.switchProcessEnded(SWITCH_ID);
         switchProcessEnded = true;
     }
 
     private void unlistSwitch() {
         switchListed = false;
         switchHolds = false;
-        contactTable.switchProcessEnded(SWITCH_ID, null);
+        contactTable.switchProcessEnded(SWITCH_ID);
         contactTable.switchRemoved(SWITCH_ID);
     }
 
--- a/src/test/java/martenslip/platform/contact/WriteQueueModel.java
+++ b/src/test/java/martenslip/platform/contact/WriteQueueModel.java
@@ -292,7 +292,7 @@
         wheel.scheduleAfter(PROCESS_END_DELAY, () -> {
             establishedContacts.clear();
             loseConnection(true);
-            inbox.add(() -> contactTable.switchProcessEnded(SWITCH_ID, null));
+            inbox.add(() -> contactTable.switchProcessEnded(SWITCH_ID));
         });
     }
 
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -100,7 +100,7 @@
         }
 
         @Override
-        public void processReplaced(long switchId, long newSwitchId, Moment startedAt) {
+        public void processReplaced(long switchId, long newSwitchId, long firstConnectionNumber) {
             events.add("process replaced");
         }
 
