serve: an answer still in the inbox establishes nothing at a process that was replaced

Callers could see: a call that stands for ever. Cause: when a switch is found replaced, dead or silent, its connections were closed, but their loss was handled only behind what waited in the inbox; an answer read before was then taken for one of a live connection, and its contact stood at a switch that nobody watches any more. Change: whoever closes such a connection gives up its set-ups at once; what is handled later counts as read from an ended connection. Evidence: anAnswerReadBeforeItsProcessWasReplacedEstablishesNothing failed before and passes.

--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -214,8 +214,7 @@
         if (succession.newSwitchId() == endpoint.id) {
             List.copyOf(endpoint.connections).stream()
                     .filter(connection -> connection.established && connection.number < check.firstNumber())
-                    .forEach(connection ->
-                            connection.transportConnection.close("reached the process before the restart"));
+                    .forEach(connection -> end(connection, "reached the process before the restart"));
         } else {
             removeReplaced(endpoint);
         }
@@ -232,8 +231,16 @@
         listener.log("switch " + endpoint.id + ": another process has " + endpoint.address);
         endpoint.unlist();
         endpoints.remove(endpoint.id);
-        List.copyOf(endpoint.connections)
-                .forEach(connection -> connection.transportConnection.close("address of another switch"));
+        List.copyOf(endpoint.connections).forEach(connection -> end(connection, "address of another switch"));
+    }
+
+    /**
+     * Closes a connection and gives up its set-ups at once: an answer that was read before and waits in the inbox must not
+     * establish a contact at a process that has ended.
+     */
+    private void end(SwitchConnection connection, String reason) {
+        connection.transportConnection.close(reason);
+        connectionLost(connection.transportConnection, reason);
     }
 
     private void checkLiveness(SwitchEndpoint endpoint) {
@@ -256,7 +263,7 @@
         if (action == LivenessMonitor.Action.DECLARE_DEAD || !endpoint.listed && endpoint.connections.isEmpty()) {
             listener.log("switch " + endpoint.id + " at " + endpoint.address + " says nothing any more, listed: "
                     + endpoint.listed);
-            List.copyOf(endpoint.connections).forEach(connection -> connection.transportConnection.close("silent"));
+            List.copyOf(endpoint.connections).forEach(connection -> end(connection, "silent"));
             listener.processEnded(endpoint.id);
             if (!endpoint.listed) {
                 endpoints.remove(endpoint.id);
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -165,4 +165,22 @@
         runTasks(1);
         assertEquals(events, List.of("load", "load"), "from then on only the primary connection counts");
     }
+
+    /**
+     * Guards against report 9d16c4: an answer of the earlier process waits in the inbox behind the news that another one
+     * has its address. Its contact would stand at a process that has gone, and nobody would end it.
+     */
+    @Test(timeOut = 30_000)
+    public void anAnswerReadBeforeItsProcessWasReplacedEstablishesNothing() throws Exception {
+        Socket socket = listenSocket.accept();
+        listenSocket.accept();
+        runTasks(2);
+        write(socket, STARTED);
+        Runnable started = nextTask();
+        connections.switchUnlisted(SWITCH_ID);
+        connections.switchListed(SWITCH_ID + 1, (InetSocketAddress) listenSocket.getLocalSocketAddress(), false);
+        connections.addressListed(SWITCH_ID + 1, new Moment(System.nanoTime() + 1_000_000_000));
+        started.run();
+        assertEquals(events, List.of("connection ended", "connection ended", "process replaced"));
+    }
 }
