aReusedAddressIsANewSwitch waits for the state of the new switch's group

The new switch was listed and its first LOAD not yet read, so the module sent the set-up over the tandem, as its mechanism has it; the test listened at the new switch only. Not the old process keeping the new one from being used. Change: the test waits until the group's state is known, as theJournalResumesAfterABreak does; it still asks for the START at the new switch.

--- a/src/test/java/martenslip/platform/ControllerServiceTest.java
+++ b/src/test/java/martenslip/platform/ControllerServiceTest.java
@@ -205,6 +205,8 @@
         // The old switch will send nothing more, so its contacts end with it.
         assertTrue(connection.next().startsWith("BYE "));
         connection.acknowledgeRelease(CALL_ID);
+        // Until the state of its group is known, contacts for the new switch go over another one.
+        PlatformStandIn.awaitCondition(service, service::allGroupStatesReported);
         connection.invite(OTHER_CALL_ID, "dear", 3000, DESCRIPTION);
         switches.get(1).next("START").started("new");
         assertTrue(connection.next().endsWith("new"));
