serve: an id that was forwarded is not started again when it comes back

Cause: an id was refused (482) only while its contact was in the table; it left the table with the FINISH. Class: what has run is forgotten with its connection. A set-up whose START was never written is none of them: the twin, one that crossed a close, still runs. Evidence: DepartedCallerTest and two tests of ContactTableTest failed before and pass; the twin's test passed before and after.

--- a/src/main/java/martenslip/platform/contact/ContactCounters.java
+++ b/src/main/java/martenslip/platform/contact/ContactCounters.java
@@ -14,6 +14,9 @@
     long abandoned;
     long callerGone;
     long refusedWithoutOffer;
+    /** Set-ups under an id that is open, established or was forwarded before; counted as refused too. */
+    long repeatedIds;
+
     long rings;
     /** Releases by a switch of contacts that were not known. */
     long earlyReleases;
@@ -42,7 +45,7 @@
     public String toString() {
         return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " deferred=" + deferred
                 + " abandoned=" + abandoned + " caller-gone=" + callerGone + " refused-unseen=" + refusedWithoutOffer
-                + " rings=" + rings + " ends=" + endsByCause
+                + " repeated-ids=" + repeatedIds + " rings=" + rings + " ends=" + endsByCause
                 + " early-releases=" + earlyReleases + " early-byes=" + earlyByes + " over-when-named=" + overWhenNamed
                 + " releases=" + releases + " releases-heard=" + releasesAcknowledged + " releases-given-up="
                 + releasesGivenUp;
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -151,21 +151,20 @@
     /** Offers a new set-up to the module, or refuses it where its tag is in use or too many contacts are open. */
     public void setUpReceived(SetUpRequest request) {
         TrackedContact existing = contactsByTag.get(request.tag());
-        if (request.establishedSwitch() == null
-                && existing != null
-                && existing.isOpen
-                && existing.callerConnectionId == request.connectionId()) {
+        if (existing != null && existing.isOpen && existing.callerConnectionId == request.connectionId()) {
             // The caller's later messages could mean either, and neither may be answered with 200.
             outbound.disconnect(request.connectionId(), "two set-ups under one id");
             return;
         }
-        if (request.establishedSwitch() == null
-                && (existing != null || isRefusingNewContacts || openContactsById.size() >= settings.maxOpen())) {
+        // A switch may have run this id for a caller who left; it must not run again.
+        boolean isRepeated = existing != null || endReconciliation.hasEnded(request.tag());
+        if (isRepeated || isRefusingNewContacts || openContactsById.size() >= settings.maxOpen()) {
             counters.refusedWithoutOffer++;
+            counters.repeatedIds += isRepeated ? 1 : 0;
             outbound.sendRefusal(
                     request.connectionId(),
                     request.tag(),
-                    existing != null
+                    isRepeated
                             ? CallerMessages.response(request.invite(), 482, "Loop Detected")
                             : CallerMessages.deferred(request.invite(), Span.ZERO));
             return;
@@ -476,7 +475,7 @@
     /** A contact that no switch has answered leaves the table. */
     private void forgetUnanswered(TrackedContact contact) {
         contactsByTag.remove(contact.tag);
-        if (contact.attemptCount > 0) {
+        if (contact.wasForwarded) {
             endReconciliation.contactSettled(contact.tag, new SettledEnd(false, EndCause.TEMPORARY_FAILURE));
         }
     }
@@ -533,6 +532,7 @@
         TrackedContact.Attempt attempt = contact.attempt;
         attempt.timeLimitTimer.cancel();
         inFlightById.remove(contact.id);
+        contact.wasForwarded |= !attempt.revoke();
         contact.attempt = null;
         if (!contact.isOpen) {
             forgetUnanswered(contact);
--- a/src/main/java/martenslip/platform/contact/EndReconciliation.java
+++ b/src/main/java/martenslip/platform/contact/EndReconciliation.java
@@ -38,6 +38,11 @@
         endedContacts.settled(tag, end, wheel.now());
     }
 
+    /** Whether a contact with this id was forwarded to a switch a short time ago and has ended since. */
+    boolean hasEnded(String tag) {
+        return endedContacts.settledEnd(tag, wheel.now()) != null;
+    }
+
     /**
      * Keeps a switch's release of a contact that is not known here, unless the contact has ended here before. The
      * release is acknowledged once the contact's caller has heard of it: the switch then need not send it to the process
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -49,6 +49,9 @@
     TimerWheel.Timer answerDeadlineTimer;
     int attemptCount;
     Attempt attempt;
+    /** Whether the START of an attempt was written: a switch may have run the contact. */
+    boolean wasForwarded;
+
     boolean isOpen = true;
     boolean isEstablished;
     boolean isAcknowledged;
--- /dev/null
+++ b/src/test/java/martenslip/platform/DepartedCallerTest.java
@@ -0,0 +1,69 @@
+package martenslip.platform;
+
+import static martenslip.platform.PlatformStandIn.instanceJson;
+import static martenslip.platform.PlatformStandIn.switchListEvent;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import martenslip.platform.PlatformStandIn.CallerConnection;
+import martenslip.platform.PlatformStandIn.SwitchStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against report 9d16c4, picture (d), with the program in a process of its own: a set-up whose client left after
+ * it had been forwarded, and that came again later, was run by a switch twice.
+ */
+public class DepartedCallerTest {
+    private static final String CALL_ID = "9b1f03aa5c7e2d41";
+    private static final int PAUSE_MS = 250;
+
+    private PlatformStandIn platform;
+    private List<SwitchStandIn> switches;
+    private ControllerProcess process;
+
+    @BeforeMethod
+    public void startProcess() throws Exception {
+        platform = new PlatformStandIn();
+        switches = platform.startSwitches(3);
+        PlatformStandIn.JournalStandIn journal = platform.new JournalStandIn();
+        String initialList = switchListEvent(
+                1,
+                true,
+                instanceJson("s-0", switches.get(0).port(), 0, "up"),
+                instanceJson("s-1", switches.get(1).port(), 1, "up"),
+                instanceJson("s-2", switches.get(2).port(), 2, "up"));
+        journal.addEvent(initialList);
+        process = new ControllerProcess();
+        process.launch(PlatformStandIn.writeTemporary(
+                process.configured(PlatformStandIn.configuration(journal.port(), initialList))));
+        process.awaitLogLine("ready");
+    }
+
+    @AfterMethod
+    public void stopProcess() throws Exception {
+        process.close();
+        platform.close();
+    }
+
+    private CallerConnection invite() throws Exception {
+        return platform.new CallerConnection(process.listenAddress()).invite(CALL_ID, "dear", 3000, "v=0\r\n");
+    }
+
+    @Test(timeOut = 60_000)
+    public void anIdIsNotStartedTwiceWhenItComesAgainAfterItsClientLeft() throws Exception {
+        CallerConnection departing = invite();
+        assertEquals(switches.get(1).next("START").tag(), CALL_ID);
+        departing.socket.close();
+        assertEquals(switches.get(1).next("FINISH").tag(), CALL_ID);
+        Thread.sleep(PAUSE_MS);
+        String answer = invite().next();
+        assertTrue(answer.startsWith("SIP/2.0 482 "), answer);
+        for (SwitchStandIn switchStandIn : switches) {
+            assertTrue(switchStandIn.receivedMessages.stream()
+                    .noneMatch(message -> message.verb().equals("START")));
+        }
+    }
+}
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -486,6 +486,41 @@
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    /** Guards against report 9d16c4, picture (d): a switch that ran an id for a caller who left got it a second time. */
+    @Test
+    public void anIdThatWasForwardedIsNotStartedAgainAfterItsCallerLeft() {
+        offerAndRing();
+        contactTable.callerConnectionEnded(1);
+        contactTable.notifyController(controller -> contactTable.cancel(1, 0));
+        harness.takeSent();
+        harness.takeNotifications();
+        harness.advanceToMs(250);
+        contactTable.setUpReceived(setUpRequest(2, 1, 3000));
+        assertEquals(harness.takeSent(), List.of("2: 482 INVITE"));
+        assertEquals(harness.takeNotifications(), List.of());
+    }
+
+    @Test
+    public void anIdThatStoodIsNotStartedAgain() {
+        establish();
+        contactTable.byeReceived(1, request("BYE", 1));
+        harness.takeSent();
+        contactTable.setUpReceived(setUpRequest(2, 1, 3000));
+        assertEquals(harness.takeSent(), List.of("2: 482 INVITE"));
+    }
+
+    /** The twin: a set-up that crossed the end of its connection and was never forwarded runs when it is sent again. */
+    @Test
+    public void anIdWhoseStartWasNeverWrittenIsOfferedAgain() {
+        harness.holdsStarts = true;
+        offerAndRing();
+        contactTable.callerConnectionEnded(1);
+        contactTable.notifyController(controller -> contactTable.cancel(1, 0));
+        harness.takeNotifications();
+        contactTable.setUpReceived(setUpRequest(2, 1, 3000));
+        assertEquals(harness.takeNotifications(), List.of("offered 2 1 destination 2 patience 3000"));
+    }
+
     /** Guards against report 038161: the end arrives before the contact is known. */
     @Test
     public void aReleaseThatPrecedesTheNamingIsPassedOnAtTheNaming() {
