--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -36,8 +36,7 @@
     private static final long REPORT_INTERVAL_NS = 100_000_000;
     private static final byte[] ECHOED_LINE =
             "{\"verb\":\"ECHOED\",\"tag\":\"\",\"opts\":{},\"rc\":1}\n".getBytes(StandardCharsets.UTF_8);
-    private static final byte[] LOAD_LINE =
-            "{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n".getBytes(StandardCharsets.UTF_8);
+    private static final int USUAL_CIRCUITS = 9;
 
     private final List<AutoCloseable> closeables = new CopyOnWriteArrayList<>();
 
@@ -93,6 +92,8 @@
         final List<String> owedLines = new CopyOnWriteArrayList<>();
 
         volatile long owedLinesDelayMs;
+        /** The circuits of the group, all of them reported as free. */
+        volatile int circuits = USUAL_CIRCUITS;
         /** Whether a test (ECHO) is answered, also on mute connections. */
         volatile boolean answersTests;
         /** Connections on which no state is reported any more, while what comes on them is read. */
@@ -104,7 +105,7 @@
         SwitchStandIn(int port) throws IOException {
             listener = listen(port, socket -> {
                 connections.add(socket);
-                socket.getOutputStream().write(LOAD_LINE);
+                socket.getOutputStream().write(loadLine());
                 writeOwedLines(socket);
                 BufferedReader reader =
                         new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
@@ -161,12 +162,46 @@
             open.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
         }
 
+        private byte[] loadLine() {
+            return ("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:" + circuits + ";x1:" + circuits
+                            + "\"}}\n")
+                    .getBytes(StandardCharsets.UTF_8);
+        }
+
+        /** Answers every set-up and acknowledges every release from now on, until its process ends. */
+        void serveAll() {
+            Thread server = new Thread(() -> {
+                try {
+                    while (!listener.isClosed()) {
+                        ReceivedMessage message = receivedMessages.take();
+                        try {
+                            serve(message);
+                        } catch (IOException e) {
+                            connections.remove(message.socket());
+                        }
+                    }
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            server.setDaemon(true);
+            server.start();
+        }
+
+        private void serve(ReceivedMessage message) throws IOException {
+            switch (message.verb()) {
+                case "START" -> message.started("m=audio");
+                case "FINISH" -> message.reply("{\"verb\":\"FINISHED\",\"tag\":\"" + message.tag() + "\",\"opts\":{}}");
+                default -> {}
+            }
+        }
+
         private void reportLoad(Socket connection) {
             if (muteConnections.contains(connection)) {
                 return;
             }
             try {
-                connection.getOutputStream().write(LOAD_LINE);
+                connection.getOutputStream().write(loadLine());
             } catch (IOException e) {
                 connections.remove(connection);
             }
