No thread that serves others ends by an OutOfMemoryError in silence

Callers saw, beside large messages of a hostile client: no answer any more, though the process lived and accepted. Class: one task's fault ends a thread that all others need. Change: the task is lost and told, the thread goes on; a caller without memory for its connection is turned away.

--- a/src/main/java/martenslip/eventloop/EventLoop.java
+++ b/src/main/java/martenslip/eventloop/EventLoop.java
@@ -179,7 +179,8 @@
     private void runGuarded(Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
+            // One task is lost; without this thread no other would ever be handled.
             handler.onFailure(e);
         }
     }
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -247,12 +247,20 @@
                 pause();
             }
             return true;
+        } catch (OutOfMemoryError e) {
+            drops.increment("no memory for a line");
+            pause();
+            return true;
         }
         try {
             addConnection(socket);
         } catch (IOException e) {
             drops.increment("caller gone as it was taken");
             closeQuietly(socket);
+        } catch (OutOfMemoryError e) {
+            // This caller is turned away; without the accepting thread no other would ever be served.
+            drops.increment("no memory for a line");
+            closeQuietly(socket);
         }
         return true;
     }
--- a/src/main/java/martenslip/platform/journal/JournalConnection.java
+++ b/src/main/java/martenslip/platform/journal/JournalConnection.java
@@ -73,7 +73,8 @@
             try {
                 receivedData = readStream();
                 listener.connectionLost("ended");
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | StackOverflowError | OutOfMemoryError e) {
+                // Asked again: without this thread no change of the switch list would ever be heard.
                 listener.connectionLost(String.valueOf(e.getMessage()));
             } catch (InterruptedException e) {
                 return;
--- a/src/main/java/martenslip/platform/peer/PeerNoteTransport.java
+++ b/src/main/java/martenslip/platform/peer/PeerNoteTransport.java
@@ -90,7 +90,7 @@
                 } else if (!listener.noteReceived(peer, Arrays.copyOf(buffer, packet.getLength()))) {
                     drops.increment("note without room");
                 }
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
                 drops.increment("note read fault");
             }
         }
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -241,8 +241,8 @@
             }
         } catch (IOException e) {
             close(String.valueOf(e.getMessage()));
-        } catch (RuntimeException e) {
-            // A programming error with one message must not end a writing thread of the pool.
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
+            // A fault with one message must not end a writing thread of the pool.
             close("fault: " + e);
         }
     }
--- a/src/main/java/martenslip/sip/transport/ConnectionThreadPool.java
+++ b/src/main/java/martenslip/sip/transport/ConnectionThreadPool.java
@@ -61,7 +61,17 @@
 
     private void runWriter() {
         for (Runnable task = awaitWrite(); task != null; task = awaitWrite()) {
+            runGuarded(task);
+        }
+    }
+
+    /** A connection closes itself on a fault; where even that fails, the thread still serves the other connections. */
+    private static void runGuarded(Runnable task) {
+        try {
             task.run();
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
         }
     }
 
