RevocableMessage: what is written or revoked keeps nothing of its content

Operators could see: memory that grows with the calls that stand. Cause: an established contact keeps its attempt, the attempt the queued START, and that the supplier of its bytes with the description, up to 16 KB a call; found in a heap histogram (45 of 48 MB in byte arrays, 2,385 contacts) while large set-ups came at full speed. Class: a handle keeps what it was made of. Change: both callbacks are dropped when the state is decided.

--- a/src/main/java/martenslip/sip/transport/RevocableMessage.java
+++ b/src/main/java/martenslip/sip/transport/RevocableMessage.java
@@ -17,8 +17,10 @@
     }
 
     private final int size;
-    private final Supplier<byte[]> messageSupplier;
-    private final Runnable onWithdrawn;
+    /** Both null once the message is written or revoked: who keeps this message must not keep what it was made of. */
+    private volatile Supplier<byte[]> messageSupplier;
+
+    private volatile Runnable onWithdrawn;
     private final AtomicReference<State> state = new AtomicReference<>(State.QUEUED);
 
     /**
@@ -34,7 +36,10 @@
 
     /** Revokes the message. Returns true if it has not been written and never will be. May be called by any thread. */
     public boolean revoke() {
-        return state.compareAndSet(State.QUEUED, State.REVOKED) || state.get() == State.REVOKED;
+        if (state.compareAndSet(State.QUEUED, State.REVOKED)) {
+            dropContent();
+        }
+        return state.get() == State.REVOKED;
     }
 
     /** True once its write has begun. */
@@ -49,16 +54,25 @@
 
     @Override
     public byte[] bytes() {
-        if (state.get() != State.QUEUED) {
+        Supplier<byte[]> supplier = messageSupplier;
+        Runnable withdrawn = onWithdrawn;
+        if (state.get() != State.QUEUED || supplier == null || withdrawn == null) {
             return null;
         }
-        byte[] message = messageSupplier.get();
-        if (message == null) {
-            if (state.compareAndSet(State.QUEUED, State.REVOKED)) {
-                onWithdrawn.run();
-            }
+        byte[] message = supplier.get();
+        boolean isDecidedHere = state.compareAndSet(State.QUEUED, message == null ? State.REVOKED : State.WRITTEN);
+        if (!isDecidedHere) {
             return null;
         }
-        return state.compareAndSet(State.QUEUED, State.WRITTEN) ? message : null;
+        dropContent();
+        if (message == null) {
+            withdrawn.run();
+        }
+        return message;
+    }
+
+    private void dropContent() {
+        messageSupplier = null;
+        onWithdrawn = null;
     }
 }
