--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -206,7 +206,7 @@
             }
         } finally {
             synchronized (this) {
-                messages.forEach(message -> unsentBytes -= message.size());
+                messages.forEach(this::releaseUnsent);
                 writeStartNanos = 0;
                 notifyAll();
             }
@@ -214,6 +214,11 @@
         }
     }
 
+    private void releaseUnsent(OutgoingMessage message) {
+        unsentBytes -= message.size();
+        limits.unsentBudget().release(message.size());
+    }
+
     private static byte[] concatenate(List<byte[]> parts) {
         if (parts.size() == 1) {
             return parts.get(0);
@@ -302,6 +307,8 @@
                 closeReason = "peer leaves " + unsentBytes + " bytes unread";
             } else if (established && stalledNanos > limits.writeStallTimeout().ns()) {
                 closeReason = "peer has read nothing for " + stalledNanos / 1_000_000 + " ms";
+            } else if (!limits.unsentBudget().reserve(message.size(), unsentBytes + message.size())) {
+                closeReason = "peer leaves more than its share unread";
             } else {
                 unsentMessages.add(message);
                 unsentBytes += message.size();
@@ -383,6 +390,7 @@
         synchronized (this) {
             unwritten = List.copyOf(unsentMessages);
             unsentMessages.clear();
+            unwritten.forEach(this::releaseUnsent);
             notifyAll();
         }
         try {
--- a/src/main/java/martenslip/sip/transport/TransportLimits.java
+++ b/src/main/java/martenslip/sip/transport/TransportLimits.java
@@ -7,7 +7,7 @@
  * delivers no whole message within {@code firstMessageTimeout} of its start, delivers nothing for {@code idleTimeout},
  * needs longer than {@code messageTimeout} for one message from its first byte, or if its peer leaves more than
  * {@code maxUnsentBytes} unread or reads nothing for {@code writeStallTimeout}. {@code connectTimeout} bounds the
- * establishment of an outgoing connection.
+ * establishment of an outgoing connection. {@code unsentBudget} bounds the unsent bytes of all connections that share it.
  */
 public record TransportLimits(
         int maxConnections,
@@ -16,7 +16,8 @@
         Span messageTimeout,
         int maxUnsentBytes,
         Span writeStallTimeout,
-        Span connectTimeout) {
+        Span connectTimeout,
+        UnsentBudget unsentBudget) {
     /**
      * A neighbour exchange needs one or two connections; an idle timeout of ten minutes makes keep-alives unnecessary.
      */
@@ -40,4 +41,24 @@
                 writeStallTimeout,
                 connectTimeout);
     }
+
+    /** Limits of each connection alone. */
+    public TransportLimits(
+            int maxConnections,
+            Span firstMessageTimeout,
+            Span idleTimeout,
+            Span messageTimeout,
+            int maxUnsentBytes,
+            Span writeStallTimeout,
+            Span connectTimeout) {
+        this(
+                maxConnections,
+                firstMessageTimeout,
+                idleTimeout,
+                messageTimeout,
+                maxUnsentBytes,
+                writeStallTimeout,
+                connectTimeout,
+                UnsentBudget.UNLIMITED);
+    }
 }
