serve: callers' messages are bounded in bytes, and one caller's share of the inbox in number

Cause: bounds counted entries (256 set-ups a connection, 4,096 tasks, 20,000 open contacts), each of up to 16 KB and several times that on the heap; a head may hold thousands of values; one connection could fill the inbox. Class: a bound in entries where bytes are what runs out. Change: open contacts share 8 MiB, large ones half of it (503, Come-Back-Ms 500); what waits in the inbox 4 MiB, 32 messages a connection, whose reader waits; 256 values a head (400); unsent bytes of all callers 4 MiB; a connection to a switch no longer ends by a burst of nine large set-ups (1 MiB, was 256 KiB).

--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -20,6 +20,7 @@
 import martenslip.platform.contact.ContactSettings;
 import martenslip.platform.contact.ContactTable;
 import martenslip.platform.contact.OutboundMessages;
+import martenslip.platform.contact.RequestMemory;
 import martenslip.platform.contact.SetUpRequest;
 import martenslip.platform.contact.SwitchStartRequest;
 import martenslip.platform.journal.Journal;
@@ -32,6 +33,7 @@
 import martenslip.sip.transport.DropCounter;
 import martenslip.sip.transport.QueuedMessage;
 import martenslip.sip.transport.TransportLimits;
+import martenslip.sip.transport.UnsentBudget;
 
 /**
  * Runs one controller on the platform: connects callers, switches, the journal and the peers to one decision thread.
@@ -57,6 +59,12 @@
     private static final int MAX_SWITCH_CONNECTIONS = 256;
     private static final Span SWITCH_MESSAGE_TIMEOUT = Span.ofMillis(400);
     private static final int MAX_UNSENT_BYTES = 256 * 1024;
+    private static final long MAX_UNSENT_BYTES_TO_ALL_CALLERS = 4L << 20;
+    /** Two messages of the greatest size. */
+    private static final int FAIR_UNSENT_BYTES = 32 * 1024;
+    /** What waits for a switch is bounded by the memory of open contacts; a sound connection must not end by a burst. */
+    private static final int MAX_UNSENT_BYTES_TO_SWITCH = 1 << 20;
+
     private static final Span WRITE_STALL_TIMEOUT = Span.ofMillis(3000);
     private static final Span READY_POLL_INTERVAL = Span.ofMillis(10);
     private static final int SHUTDOWN_THREAD_STACK_BYTES = 128 * 1024;
@@ -65,6 +73,7 @@
     private final RateLimitedLog log;
     private final DropCounter drops = new DropCounter();
     private final ConnectionThreadPool connectionThreads = new ConnectionThreadPool("desk", 16);
+    private final InboxQuota inboxQuota = new InboxQuota();
     private final EventLoop loop = new EventLoop("desk", INBOX_CAPACITY);
     private final TimerWheel wheel = loop.timerWheel();
     private final CountDownLatch terminated = new CountDownLatch(1);
@@ -110,7 +119,8 @@
                 CALLER_MESSAGE_TIMEOUT,
                 MAX_UNSENT_BYTES,
                 WRITE_STALL_TIMEOUT,
-                CALLER_CONNECT_TIMEOUT);
+                CALLER_CONNECT_TIMEOUT,
+                new UnsentBudget(MAX_UNSENT_BYTES_TO_ALL_CALLERS, FAIR_UNSENT_BYTES));
         callerConnections =
                 new CallerConnections(contactSettings, callerLimits, connectionThreads, drops, callerListener);
         Span connectTimeout = spanSetting(settings, "policy-limits.connect-timeout-ns", 500e6);
@@ -120,7 +130,7 @@
                 idleTimeout.times(2),
                 idleTimeout.times(2),
                 SWITCH_MESSAGE_TIMEOUT,
-                MAX_UNSENT_BYTES,
+                MAX_UNSENT_BYTES_TO_SWITCH,
                 WRITE_STALL_TIMEOUT,
                 connectTimeout);
         switchConnections = new SwitchConnections(
@@ -240,7 +250,9 @@
                         + callerConnections.connectionCount()
                         + " switch-lines="
                         + switchConnections.connectionCount()
-                        + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " drops="
+                        + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " waiting-kb="
+                        + inboxQuota.usedBytes() / 1024
+                        + " open-kb=" + contactTable.openBytes() / 1024 + " drops="
                         + drops.counts());
         wheel.scheduleAfter(COUNTS_LOG_INTERVAL, this::logCounts);
     }
@@ -309,6 +321,7 @@
     public void close() {
         // Must be first: connections closed from here on must not be reported as callers that have gone.
         loop.close();
+        inboxQuota.close();
         try {
             callerConnections.close();
         } catch (IOException e) {
@@ -372,18 +385,40 @@
                             request, switchRegistry.switchId(request.establishedSwitch()));
                 }
             };
+            long bytes = RequestMemory.of(request.invite());
             if (request.establishedSwitch() == null) {
-                return loop.offer(task);
+                inboxQuota.acquire(request.connectionId(), bytes);
+                boolean isQueued = loop.offer(releasingQuota(request.connectionId(), bytes, task));
+                if (!isQueued) {
+                    inboxQuota.release(request.connectionId(), bytes);
+                }
+                return isQueued;
             }
             // A contact that is already established expects no answer, so it cannot be refused, and nobody else would
             // ever release it.
-            runOnDecisionThread(task);
+            runForCaller(request.connectionId(), bytes, task);
             return true;
         }
 
+        /** Runs a task on the decision thread within the bounds of what a caller may have in the inbox. */
+        private void runForCaller(long connectionId, long bytes, Runnable task) throws InterruptedException {
+            inboxQuota.acquire(connectionId, bytes);
+            runOnDecisionThread(releasingQuota(connectionId, bytes, task));
+        }
+
+        private Runnable releasingQuota(long connectionId, long bytes, Runnable task) {
+            return () -> {
+                try {
+                    task.run();
+                } finally {
+                    inboxQuota.release(connectionId, bytes);
+                }
+            };
+        }
+
         @Override
         public void requestReceived(long connectionId, Request request) throws InterruptedException {
-            runOnDecisionThread(() -> {
+            runForCaller(connectionId, RequestMemory.of(request), () -> {
                 switch (request.method()) {
                     case "CANCEL" -> contactTable.cancelReceived(connectionId, request);
                     case "BYE" -> contactTable.byeReceived(connectionId, request);
--- a/src/main/java/martenslip/platform/contact/ContactCounters.java
+++ b/src/main/java/martenslip/platform/contact/ContactCounters.java
@@ -14,6 +14,8 @@
     long abandoned;
     long callerGone;
     long refusedWithoutOffer;
+    /** Set-ups for which the open contacts left no memory. */
+    long refusedForMemory;
     /** Set-ups under an id that is open, established or was forwarded before; counted as refused too. */
     long repeatedIds;
 
@@ -45,7 +47,8 @@
     public String toString() {
         return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " deferred=" + deferred
                 + " abandoned=" + abandoned + " caller-gone=" + callerGone + " refused-unseen=" + refusedWithoutOffer
-                + " repeated-ids=" + repeatedIds + " rings=" + rings + " ends=" + endsByCause
+                + " repeated-ids=" + repeatedIds + " refused-memory=" + refusedForMemory + " rings=" + rings + " ends="
+                + endsByCause
                 + " early-releases=" + earlyReleases + " early-byes=" + earlyByes + " over-when-named=" + overWhenNamed
                 + " releases=" + releases + " releases-heard=" + releasesAcknowledged + " releases-given-up="
                 + releasesGivenUp;
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -33,6 +33,14 @@
  */
 public final class ContactTable implements Orders {
     private static final float[] NO_REPORT = {};
+    /** What open contacts may occupy together. */
+    private static final long MAX_OPEN_BYTES = 8L << 20;
+    /** Larger set-ups are refused where they would leave no room for usual ones. */
+    private static final long LARGE_SET_UP_BYTES = 16L << 10;
+
+    private static final long MAX_OPEN_BYTES_FOR_LARGE = MAX_OPEN_BYTES / 2;
+    /** When a caller may come again whose set-up found no memory. */
+    private static final Span NO_MEMORY_RETRY_DELAY = Span.ofMillis(500);
 
     private final TimerWheel wheel;
     private final ContactSettings settings;
@@ -52,6 +60,7 @@
     private boolean isNotifying;
     private boolean isRefusingNewContacts;
     private long lastContactId;
+    private long openBytes;
 
     /** Creates a table without a module; see {@link #setController}. */
     public ContactTable(TimerWheel wheel, ContactSettings settings, OutboundMessages outbound) {
@@ -80,6 +89,11 @@
         return openContactsById.size();
     }
 
+    /** An estimate of what the open contacts occupy. */
+    public long openBytes() {
+        return openBytes;
+    }
+
     /** The number of established contacts. */
     public int establishedCount() {
         return establishedContacts.count();
@@ -169,6 +183,15 @@
                             : CallerMessages.deferred(request.invite(), Span.ZERO));
             return;
         }
+        long bytes = RequestMemory.of(request.invite());
+        if (openBytes + bytes > (bytes > LARGE_SET_UP_BYTES ? MAX_OPEN_BYTES_FOR_LARGE : MAX_OPEN_BYTES)) {
+            counters.refusedForMemory++;
+            outbound.sendRefusal(
+                    request.connectionId(),
+                    request.tag(),
+                    CallerMessages.deferred(request.invite(), NO_MEMORY_RETRY_DELAY));
+            return;
+        }
         if (request.cancellation().isCancelled()) {
             // The caller no longer waits: its CANCEL, BYE or disconnect is queued behind this request in the inbox.
             counters.callerGone++;
@@ -179,6 +202,8 @@
             return;
         }
         TrackedContact contact = new TrackedContact(++lastContactId, request);
+        contact.openBytes = bytes;
+        openBytes += bytes;
         contactsByTag.put(contact.tag, contact);
         openContactsById.put(contact.id, contact);
         counters.taken++;
@@ -466,6 +491,7 @@
     private void closeSetUp(TrackedContact contact) {
         contact.isOpen = false;
         contact.answerDeadlineTimer.cancel();
+        openBytes -= contact.openBytes;
         openContactsById.remove(contact.id);
         if (contact.attempt == null) {
             forgetUnanswered(contact);
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -53,6 +53,9 @@
     boolean wasForwarded;
 
     boolean isOpen = true;
+    /** What its set-up occupies while it is open. */
+    long openBytes;
+
     boolean isEstablished;
     boolean isAcknowledged;
     /** Number of the switch's connection that brought the answer; 0 for an inherited contact. */
--- a/src/main/java/martenslip/sip/message/Headers.java
+++ b/src/main/java/martenslip/sip/message/Headers.java
@@ -31,6 +31,15 @@
         return fields.size();
     }
 
+    /** The number of characters of all names and values. */
+    public int textLength() {
+        int length = 0;
+        for (Field field : fields) {
+            length += field.name.length() + field.value.length();
+        }
+        return length;
+    }
+
     /** The first value of the name, or null. */
     public String first(String name) {
         int index = indexOf(name, 0);
--- a/src/main/java/martenslip/sip/message/MessageParser.java
+++ b/src/main/java/martenslip/sip/message/MessageParser.java
@@ -14,6 +14,8 @@
     public static final int MAX_MESSAGE_BYTES = 64 * 1024;
     /** Limit of header lines. */
     public static final int MAX_LINES = 128;
+    /** Limit of header values; one line may hold several, separated by commas. */
+    public static final int MAX_VALUES = 256;
     /** Limit of one header line including its folded continuation lines. */
     public static final int MAX_LINE_BYTES = 8 * 1024;
 
@@ -244,6 +246,10 @@
             return;
         }
         for (String part : HeaderScanner.split(value, ',')) {
+            if (headers.count() >= MAX_VALUES) {
+                recordFault(400, "over " + MAX_VALUES + " header values");
+                return;
+            }
             if (!part.isEmpty()) {
                 headers.add(name, part);
             } else if (!name.equals("Supported") && !name.equals("Allow")) {
--- a/src/test/java/martenslip/platform/HostileCallersTest.java
+++ b/src/test/java/martenslip/platform/HostileCallersTest.java
@@ -33,6 +33,7 @@
 
     private static final int SOCKET_LIMIT = 384;
     private static final int HOSTILE_CONNECTIONS = 300;
+    private static final int FAST_CONNECTIONS = 20;
     private static final int USUAL_CALLERS = 6;
     private static final int CALL_INTERVAL_MS = 30;
     private static final int PATIENCE_MS = 1500;
@@ -291,8 +292,8 @@
     private void startHostileCallers(Picture picture, AtomicBoolean isStopped, AtomicLong messages) {
         int connections = switch (picture) {
             case NOTHING, ALL_AT_ONCE -> 0;
-            case HEADS_OF_SHORT_FIELDS, HALF_MESSAGES, BYTE_BY_BYTE, ANSWERS_LEFT_UNREAD -> HOSTILE_CONNECTIONS;
-            case LARGE_SET_UPS, HEADS_OF_MANY_VALUES, LARGE_RELEASES -> 20;
+            case HEADS_OF_SHORT_FIELDS, HALF_MESSAGES, BYTE_BY_BYTE -> HOSTILE_CONNECTIONS;
+            case LARGE_SET_UPS, HEADS_OF_MANY_VALUES, LARGE_RELEASES, ANSWERS_LEFT_UNREAD -> FAST_CONNECTIONS;
             default -> 1;
         };
         for (int i = 0; i < connections; i++) {
@@ -339,6 +340,7 @@
         long peakMb = isAlive ? process.peakMemoryMb() : -1;
         System.out.println("hostile callers: " + picture + ": served " + served + ", worst " + worstMs + " ms, peak "
                 + peakMb + " MB, hostile writes " + messages);
+        lastLogLines.stream().filter(line -> line.contains(" counts: ")).forEach(System.out::println);
         assertTrue(isAlive, "the process has ended: " + lastLogLines);
         assertEquals(lost, List.of(), "usual callers' losses; " + lastLogLines);
         assertTrue(peakMb < MEMORY_LIMIT_MB, "peak memory " + peakMb + " MB");
--- a/src/test/java/martenslip/platform/contact/ContactTableHarness.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableHarness.java
@@ -27,8 +27,7 @@
 final class ContactTableHarness implements UntrackedOutboundMessages, Controller {
     static final long SWITCH_ID = 7;
     static final long SWITCH_CONNECTION_ID = 40;
-    static final ContactSettings SETTINGS =
-            new ContactSettings(List.of("cheap", "dear"), 3, Span.ofMillis(9000), Span.ofMillis(20));
+    static final ContactSettings SETTINGS = settings(3);
     final TimerWheel wheel = new TimerWheel(new Moment(0));
     final List<String> sent = new ArrayList<>();
     final List<String> notifications = new ArrayList<>();
@@ -36,7 +35,7 @@
     final List<Long> finishedTags = new ArrayList<>();
 
     final Set<Long> closedConnections = new HashSet<>();
-    final ContactTable contactTable = new ContactTable(wheel, SETTINGS, this);
+    final ContactTable contactTable;
     boolean isUnreachable;
     /** Holds each START until {@link #writeStarts}. */
     boolean holdsStarts;
@@ -51,9 +50,18 @@
     final List<Long> furtherCallerConnections = new ArrayList<>();
 
     ContactTableHarness() {
+        this(SETTINGS);
+    }
+
+    ContactTableHarness(ContactSettings settings) {
+        contactTable = new ContactTable(wheel, settings, this);
         contactTable.setController(this);
     }
 
+    static ContactSettings settings(int maxOpen) {
+        return new ContactSettings(List.of("cheap", "dear"), maxOpen, Span.ofMillis(9000), Span.ofMillis(20));
+    }
+
     static String tag(int contactNumber) {
         return String.format("%016x", contactNumber);
     }
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -486,6 +486,36 @@
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    private SetUpRequest largeSetUpRequest(int contactNumber) {
+        SetUpRequest request = setUpRequest(1, contactNumber, 3000);
+        request.invite().body("application/sdp", new byte[16_000]);
+        return request;
+    }
+
+    /** Guards against report 9d16c4, picture (b): open set-ups of nearly 16 KB took all memory. */
+    @Test
+    public void largeSetUpsAreRefusedWhileOpenOnesTakeHalfOfTheMemory() {
+        harness = new ContactTableHarness(ContactTableHarness.settings(20_000));
+        contactTable = harness.contactTable;
+        int accepted = 0;
+        while (harness.takeSent().isEmpty()) {
+            contactTable.setUpReceived(largeSetUpRequest(++accepted));
+        }
+        assertEquals(contactTable.openCount(), accepted - 1);
+        assertTrue(contactTable.openBytes() <= 4 << 20, "bytes: " + contactTable.openBytes());
+        contactTable.setUpReceived(largeSetUpRequest(9001));
+        assertEquals(harness.takeSent(), List.of("1: 503 INVITE retry after 500"));
+        contactTable.setUpReceived(setUpRequest(2, 9002, 3000));
+        assertEquals(harness.takeSent(), List.of(), "a usual one finds room");
+        contactTable.abandon(1);
+        harness.takeSent();
+        contactTable.setUpReceived(largeSetUpRequest(9003));
+        assertEquals(harness.takeSent(), List.of());
+        contactTable.callerConnectionEnded(1);
+        contactTable.callerConnectionEnded(2);
+        assertEquals(contactTable.openBytes(), 0);
+    }
+
     /** Guards against report 9d16c4, picture (d): a switch that ran an id for a caller who left got it a second time. */
     @Test
     public void anIdThatWasForwardedIsNotStartedAgainAfterItsCallerLeft() {
--- a/src/test/java/martenslip/sip/message/MessageParserTest.java
+++ b/src/test/java/martenslip/sip/message/MessageParserTest.java
@@ -162,4 +162,15 @@
         assertEquals(uri.userParameter("trunk-context"), "returns.example");
         assertNull(uri.userParameter("none"));
     }
+
+    /** Guards against report 9d16c4, picture (b): a line of 8 KB with a value each two bytes became thousands of fields. */
+    @Test
+    public void aHeadOfTooManyValuesIsInvalidAndNotKept() {
+        String message = "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nVia: " + "a,".repeat(4000)
+                + "a\r\nContent-Length: 0\r\n\r\n";
+        byte[] bytes = message.getBytes(StandardCharsets.US_ASCII);
+        ParseResult parsed = MessageParser.parseMinimal(bytes, bytes.length);
+        assertEquals(parsed.fault(), "over 256 header values");
+        assertTrue(parsed.message().headers().count() <= MessageParser.MAX_VALUES + 1);
+    }
 }
