serve: contacts that callers have named are bounded, fairly between connections

Cause: each naming was taken over as a contact that stands, and only its switch or its caller ends one. Class: state that a stranger creates and only others end. Change: at most 8,192 named contacts (NamedContacts, pure); above that the oldest one of the connection that has named most gives way, told in the log and in counts. Nobody is sent a release for it: a genuine one that gives way would not be ended, which needs over 8,192 calls named at once.

--- a/src/main/java/martenslip/platform/contact/ContactCounters.java
+++ b/src/main/java/martenslip/platform/contact/ContactCounters.java
@@ -10,6 +10,9 @@
     long taken;
     long established;
     long inherited;
+    /** Contacts named by callers that gave way to others. */
+    long namedGivenUp;
+
     long deferred;
     long abandoned;
     long callerGone;
@@ -45,7 +48,8 @@
     /** The counts as the operators' log has them; the names are part of its format. */
     @Override
     public String toString() {
-        return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " deferred=" + deferred
+        return "taken=" + taken + " stood=" + established + " inherited=" + inherited + " named-given-up="
+                + namedGivenUp + " deferred=" + deferred
                 + " abandoned=" + abandoned + " caller-gone=" + callerGone + " refused-unseen=" + refusedWithoutOffer
                 + " repeated-ids=" + repeatedIds + " refused-memory=" + refusedForMemory + " rings=" + rings + " ends="
                 + endsByCause
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -241,8 +241,13 @@
         contact.isAcknowledged = true;
         contact.attempt = new TrackedContact.Attempt(TrackedContact.INHERITED, switchId, null, wheel.now());
         contactsByTag.put(contact.tag, contact);
-        establishedContacts.add(contact, 0);
         counters.inherited++;
+        TrackedContact givenUp = establishedContacts.addNamed(contact);
+        if (givenUp != null) {
+            contactsByTag.remove(givenUp.tag);
+            counters.namedGivenUp++;
+            outbound.log("named-given-up", givenUp.tag + " gives way; its connection has named most");
+        }
     }
 
     /** Releases a contact that is established, according to its caller, at a switch that is not on the list. */
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -24,6 +24,7 @@
     private final ReleaseSender releaseSender;
     private final EndListener endListener;
     private final Map<String, TrackedContact> contactsByTag = new LinkedHashMap<>();
+    private final NamedContacts namedContacts = new NamedContacts();
 
     EstablishedContacts(OutboundMessages outbound, ReleaseSender releaseSender, EndListener endListener) {
         this.outbound = outbound;
@@ -81,6 +82,23 @@
                 + contact.connectionNumber;
     }
 
+    /**
+     * Adds a contact that its caller has named as established. Returns the named contact that gives way to it, removed and
+     * without a message to anybody, or null.
+     */
+    TrackedContact addNamed(TrackedContact contact) {
+        add(contact, 0);
+        String givenUpTag = namedContacts.add(contact.tag, contact.callerConnectionId);
+        return givenUpTag == null ? null : contactsByTag.remove(givenUpTag);
+    }
+
+    private void remove(TrackedContact contact) {
+        contactsByTag.remove(contact.tag);
+        if (contact.isInherited()) {
+            namedContacts.remove(contact.tag, contact.callerConnectionId);
+        }
+    }
+
     /** The caller has acknowledged the 200 response. */
     void acknowledged(String tag) {
         TrackedContact contact = contactsByTag.get(tag);
@@ -179,7 +197,7 @@
     }
 
     private void contactEnded(TrackedContact contact, RingEndCause cause, float[] report) {
-        contactsByTag.remove(contact.tag);
+        remove(contact);
         endListener.contactEnded(contact, cause, report);
     }
 }
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -486,6 +486,20 @@
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    /** Guards against report 9d16c4, picture (c): namings under ever new ids took memory without end. */
+    @Test
+    public void namedContactsAreBoundedAndAGenuineOneIsStillReleased() {
+        contactTable.establishedContactReported(namingRequest(3, 1), SWITCH_ID);
+        for (int i = 2; i < 20_000; i++) {
+            contactTable.establishedContactReported(namingRequest(4, i), SWITCH_ID);
+        }
+        assertEquals(contactTable.establishedCount(), NamedContacts.MAX_COUNT);
+        assertEquals(contactTable.knownTags().size(), NamedContacts.MAX_COUNT);
+        harness.takeSent();
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"));
+    }
+
     private SetUpRequest largeSetUpRequest(int contactNumber) {
         SetUpRequest request = setUpRequest(1, contactNumber, 3000);
         request.invite().body("application/sdp", new byte[16_000]);
