--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -91,6 +91,9 @@
         /** Lines written on each further connection, after the load report and {@link #owedLinesDelayMs}. */
         final List<String> owedLines = new CopyOnWriteArrayList<>();
 
+        /** The calls that {@link #serveAll} has answered. */
+        final Set<String> servedTags = ConcurrentHashMap.newKeySet();
+
         volatile long owedLinesDelayMs;
         /** The circuits of the group, all of them reported as free. */
         volatile int circuits = USUAL_CIRCUITS;
@@ -100,6 +103,7 @@
         final Set<Socket> muteConnections = ConcurrentHashMap.newKeySet();
 
         private volatile boolean isReporting;
+        private volatile boolean isSilent;
         private final ServerSocket listener;
 
         SwitchStandIn(int port) throws IOException {
@@ -175,7 +179,9 @@
                     while (!listener.isClosed()) {
                         ReceivedMessage message = receivedMessages.take();
                         try {
-                            serve(message);
+                            if (!isSilent) {
+                                serve(message);
+                            }
                         } catch (IOException e) {
                             connections.remove(message.socket());
                         }
@@ -190,7 +196,10 @@
 
         private void serve(ReceivedMessage message) throws IOException {
             switch (message.verb()) {
-                case "START" -> message.started("m=audio");
+                case "START" -> {
+                    servedTags.add(message.tag());
+                    message.started("m=audio");
+                }
                 case "FINISH" -> message.reply("{\"verb\":\"FINISHED\",\"tag\":\"" + message.tag() + "\",\"opts\":{}}");
                 default -> {}
             }
@@ -263,6 +272,7 @@
 
         /** The machine disappears: its open connections carry nothing more from it. */
         void fallSilent() {
+            isSilent = true;
             stopReporting();
             answersTests = false;
         }
