serve: an id listed at another address is another process

Cause: an endpoint keeps the address under which its id was listed first. Class: the identity of a process is taken from an id. Change: such an entry gets a new number; the earlier process counts as one that has left the list, whose calls end with its connections or its silence. Evidence: anIdThatIsListedAtAnotherAddressIsAnotherProcess failed before (no connection to the new address) and passes.

--- a/src/main/java/martenslip/platform/SwitchRegistry.java
+++ b/src/main/java/martenslip/platform/SwitchRegistry.java
@@ -104,16 +104,18 @@
     private void applyEntries(ListKind kind, List<SwitchListEvent.Entry> entries, Moment now) {
         eventCount++;
         Map<Long, Moment> restarted = new HashMap<>();
+        List<RegisteredSwitch> moved = new ArrayList<>();
         Set<String> listedIds = new HashSet<>();
         for (SwitchListEvent.Entry entry : entries) {
             listedIds.add(entry.id());
             if (entry.state() != SwitchEntry.State.GONE) {
-                register(entry, restarted, now);
+                register(entry, restarted, moved, now);
             }
         }
         Set<String> removedIds = removedIds(kind, entries, listedIds);
         Set<String> replacedIds = replacedIds(removedIds);
         List<SwitchEntry> controllerEntries = controllerEntries(entries, listedIds, replacedIds);
+        moved.forEach(registered -> controllerEntries.add(goneEntry(registered)));
         List<SwitchListEvent.Entry> listedEntries = entries.stream()
                 .filter(entry -> isListed(entry.id()) && !removedIds.contains(entry.id()))
                 .filter(entry -> !replacedIds.contains(entry.id()))
@@ -121,6 +123,7 @@
         listedEntries.forEach(this::connect);
         restarted.forEach(switchConnections::processRestarted);
         contactTable.notifyController(controller -> controller.switchListReceived(now, kind, controllerEntries));
+        moved.forEach(this::unlist);
         removedIds.forEach(instanceId -> unlist(switchesById.remove(instanceId)));
         replacedIds.forEach(instanceId -> unlist(switchesById.get(instanceId)));
         replacedIds.forEach(
@@ -135,7 +138,8 @@
         return registered != null && !registered.replaced;
     }
 
-    private void register(SwitchListEvent.Entry entry, Map<Long, Moment> restarted, Moment now) {
+    private void register(
+            SwitchListEvent.Entry entry, Map<Long, Moment> restarted, List<RegisteredSwitch> moved, Moment now) {
         RegisteredSwitch previous = switchesById.get(entry.id());
         if (previous != null && previous.replaced) {
             if (!previous.isSucceededBy(entry)) {
@@ -143,6 +147,11 @@
             }
             previous = null;
         }
+        if (previous != null && !previous.entry.address().equals(entry.address())) {
+            // Another process under the id; what stands at the earlier one ends as at any switch that has left.
+            moved.add(previous);
+            previous = null;
+        }
         RegisteredSwitch registered = previous == null
                 ? new RegisteredSwitch(++lastSwitchId, entry, eventCount, false)
                 : new RegisteredSwitch(previous.switchId, entry, previous.firstEvent, false);
@@ -208,12 +217,16 @@
         for (String instanceId : replacedIds) {
             if (!listedIds.contains(instanceId)) {
                 RegisteredSwitch registered = switchesById.get(instanceId);
-                controllerEntries.add(controllerEntry(registered.switchId, registered.entry, SwitchEntry.State.GONE));
+                controllerEntries.add(goneEntry(registered));
             }
         }
         return controllerEntries;
     }
 
+    private SwitchEntry goneEntry(RegisteredSwitch registered) {
+        return controllerEntry(registered.switchId, registered.entry, SwitchEntry.State.GONE);
+    }
+
     private SwitchEntry controllerEntry(long switchId, SwitchListEvent.Entry entry, SwitchEntry.State state) {
         return new SwitchEntry(
                 switchId, entry.number(), state, startedAt(entry), Math.max(0, zones.indexOf(entry.zone())));
--- a/src/test/java/martenslip/platform/ReplacedSwitchTest.java
+++ b/src/test/java/martenslip/platform/ReplacedSwitchTest.java
@@ -246,6 +246,20 @@
         assertTrue(release.contains("Call-ID: " + OTHER_CALL_ID) && release.contains("cause=16"), release);
     }
 
+    /** Guards against report 9d16c4, picture (a): an id listed at another address was still sought at the old one. */
+    @Test
+    public void anIdThatIsListedAtAnotherAddressIsAnotherProcess() throws Exception {
+        establish(CALL_ID, oldSwitch);
+        SwitchStandIn movedSwitch = platform.startSwitches(1).get(0);
+        tell(2, instanceJson("s-1", movedSwitch.port(), 1, "up", START_UNKNOWN));
+        awaitConnections(movedSwitch, 2);
+        PlatformStandIn.awaitCondition(service, service::allGroupStatesReported);
+        establish(OTHER_CALL_ID, movedSwitch);
+        oldSwitch.stop();
+        assertReleased(CALL_ID);
+        assertNothingArrives();
+    }
+
     /** The twin of review/1: a reset of every connection is no proof that the process has ended. */
     @Test(dataProvider = "statesOfTheOldSwitch")
     public void contactsOutliveAResetOfAllConnections(String state) throws Exception {
