serve: releases of a successor under the old id count for contacts named at the new one

Callers could see: a call that is over and stands for ever, after a controller's restart beside a replaced switch. Cause: until the list tells, the successor's releases come on connections of the old id; one of a contact that is not known yet was kept under that id, and the naming at the new id did not match it and dropped it. Class: the identity of a process is taken from an id. Change: at a replacement the kept releases go over to the new switch. Evidence: aReleaseOfTheSuccessorUnderTheOldId... failed before, passes.

--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -480,6 +480,7 @@
      */
     public void switchProcessReplaced(long switchId, long newSwitchId, long firstConnectionNumber) {
         establishedContacts.switchProcessReplaced(switchId, newSwitchId, firstConnectionNumber);
+        endReconciliation.switchReplaced(switchId, newSwitchId);
     }
 
     // ---- ends of contacts and attempts
--- a/src/main/java/martenslip/platform/contact/EndReconciliation.java
+++ b/src/main/java/martenslip/platform/contact/EndReconciliation.java
@@ -38,6 +38,14 @@
         endedContacts.settled(tag, end, wheel.now());
     }
 
+    /**
+     * Another switch's process has followed at the address of a switch, and may have released contacts under the id of the
+     * earlier one: their callers name them at the new switch.
+     */
+    void switchReplaced(long switchId, long newSwitchId) {
+        endedContacts.switchReplaced(switchId, newSwitchId);
+    }
+
     /** Whether a contact with this id was forwarded to a switch a short time ago and has ended since. */
     boolean hasEnded(String tag) {
         return endedContacts.settledEnd(tag, wheel.now()) != null;
--- a/src/main/java/martenslip/platform/contact/EndedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EndedContacts.java
@@ -60,6 +60,13 @@
         earlyReleases.put(tag, release, now);
     }
 
+    /** A switch's releases came from the process that now belongs to another switch. */
+    void switchReplaced(long switchId, long newSwitchId) {
+        earlyReleases.replaceAll(release -> release.switchId() == switchId
+                ? new EarlyRelease(newSwitchId, release.switchConnectionId(), release.q850Cause())
+                : release);
+    }
+
     /** A caller has released a contact that is not known here. */
     void releasedByCaller(String tag, Moment now) {
         earlyByes.put(tag, new EarlyBye(EndCause.NORMAL_CLEARING), now);
--- a/src/main/java/martenslip/platform/contact/ExpiringTagMap.java
+++ b/src/main/java/martenslip/platform/contact/ExpiringTagMap.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 
@@ -51,6 +52,11 @@
         return value;
     }
 
+    /** Replaces each value; their ages stay. */
+    void replaceAll(UnaryOperator<V> operator) {
+        entriesByTag.replaceAll((tag, entry) -> new Entry<>(operator.apply(entry.value), entry.addedAt));
+    }
+
     int size() {
         return entriesByTag.size();
     }
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -478,6 +478,16 @@
         assertEquals(contactTable.establishedCount(), 0);
     }
 
+    /** Guards against report 9d16c4: the successor's release came under the old id, its contact is named under the new one. */
+    @Test
+    public void aReleaseOfTheSuccessorUnderTheOldIdEndsAContactNamedUnderTheNewOne() {
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(4), 16, null, NO_REPORT);
+        contactTable.switchProcessReplaced(SWITCH_ID, SWITCH_ID + 1, SWITCH_CONNECTION_ID);
+        contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID + 1);
+        assertEquals(harness.takeSent().contains("3: BYE Q.850;cause=16"), true);
+        assertEquals(contactTable.establishedCount(), 0);
+    }
+
     /** Its caller has named the contact at the earlier process; no connection brought its answer. */
     @Test
     public void aNamedContactEndsWithTheProcessThatIsReplaced() {
