serve: what is owed to a process that has ended is not said to its successor

Cause: at a restart under one id the endpoint stays, and a FINISH that the earlier process had not acknowledged was sent again on the first connections of the next one (a replacement by another id drops them with the endpoint). Class: a debt is kept for an id, not for the process. Change: a pending FINISH knows the connection of its START; once the restart is known, only those of connections that reach the present process stay. Seen by reading, shown on PendingFinishes only. Evidence: PendingFinishesTest; SwitchConnectionsTest and ReplacedProcessTest pass.

--- a/src/main/java/martenslip/platform/switchconnection/PendingFinishes.java
+++ b/src/main/java/martenslip/platform/switchconnection/PendingFinishes.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 
@@ -16,27 +17,29 @@
 
     private static final int MAX_COUNT = 2048;
 
-    private record PendingFinish(int cause, Moment queuedAt) {}
+    private record PendingFinish(int cause, long connectionId, Moment queuedAt) {}
 
     /** By tag, oldest first. */
     private final Map<String, PendingFinish> finishesByTag = new LinkedHashMap<>();
 
-    void add(String tag, int cause, Moment now) {
+    /** {@code connectionId} is the connection of the contact's START, 0 if it is not known. */
+    void add(String tag, int cause, long connectionId, Moment now) {
         removeExpired(now);
         if (finishesByTag.size() >= MAX_COUNT) {
             Iterator<String> tags = finishesByTag.keySet().iterator();
             tags.next();
             tags.remove();
         }
-        finishesByTag.put(tag, new PendingFinish(cause, now));
+        finishesByTag.put(tag, new PendingFinish(cause, connectionId, now));
     }
 
     void remove(String tag) {
         finishesByTag.remove(tag);
     }
 
-    void clear() {
-        finishesByTag.clear();
+    /** Drops what is owed to a process that has ended: all but the contacts started on these connections. */
+    void retainConnections(Set<Long> connectionIds) {
+        finishesByTag.values().removeIf(finish -> !connectionIds.contains(finish.connectionId));
     }
 
     /** The causes by tag, oldest first. */
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -214,6 +214,7 @@
             List.copyOf(endpoint.connections).stream()
                     .filter(connection -> connection.established && connection.number < check.firstNumber())
                     .forEach(connection -> end(connection, "reached the process before the restart"));
+            endpoint.pendingFinishes.retainConnections(endpoint.connectionIds());
         } else {
             removeReplaced(endpoint);
         }
@@ -464,7 +465,7 @@
             message.completed();
             return;
         }
-        endpoint.pendingFinishes.add(tag, cause, timerWheel.now());
+        endpoint.pendingFinishes.add(tag, cause, connectionId, timerWheel.now());
         SwitchConnection sentOn = sendOnAnyConnection(endpoint, connectionId, message);
         if (sentOn == null) {
             message.completed();
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import martenslip.control.Moment;
 import martenslip.control.Span;
 import martenslip.liveness.LivenessMonitor;
@@ -59,6 +61,12 @@
         liveness.setListed(false);
     }
 
+    Set<Long> connectionIds() {
+        return connections.stream()
+                .map(connection -> connection.transportConnection.id())
+                .collect(Collectors.toSet());
+    }
+
     /** The connections in the order in which a set-up is to be offered to them. */
     List<SwitchConnection> connectionsForStart() {
         return connections.stream()
