--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -91,8 +92,11 @@
         /** Lines written on each further connection, after the load report and {@link #owedLinesDelayMs}. */
         final List<String> owedLines = new CopyOnWriteArrayList<>();
 
-        /** The calls that {@link #serveAll} has answered. */
-        final Set<String> servedTags = ConcurrentHashMap.newKeySet();
+        /** When {@link #serveAll} answered each call; the first time counts. */
+        final Map<String, Long> servedNsByTag = new ConcurrentHashMap<>();
+
+        /** Calls that {@link #serveAll} was asked to set up twice. */
+        final Set<String> repeatedTags = ConcurrentHashMap.newKeySet();
 
         volatile long owedLinesDelayMs;
         /** The circuits of the group, all of them reported as free. */
@@ -197,7 +201,9 @@
         private void serve(ReceivedMessage message) throws IOException {
             switch (message.verb()) {
                 case "START" -> {
-                    servedTags.add(message.tag());
+                    if (servedNsByTag.putIfAbsent(message.tag(), System.nanoTime()) != null) {
+                        repeatedTags.add(message.tag());
+                    }
                     message.started("m=audio");
                 }
                 case "FINISH" -> message.reply("{\"verb\":\"FINISHED\",\"tag\":\"" + message.tag() + "\",\"opts\":{}}");
--- a/src/test/java/martenslip/platform/ReplacementSoakTest.java
+++ b/src/test/java/martenslip/platform/ReplacementSoakTest.java
@@ -235,7 +235,7 @@
 
     private void noteWhereCallsStand(List<SwitchProcess> processes) {
         for (SwitchProcess switchProcess : processes) {
-            switchProcess.standIn.servedTags.forEach(tag -> processByCall.put(tag, switchProcess));
+            switchProcess.standIn.servedNsByTag.keySet().forEach(tag -> processByCall.put(tag, switchProcess));
         }
     }
 
