serve: a burst is read to its end before any of it is handed on

Cause: a reader handed on what one read brought and saw the end of the connection only behind all that, waiting for the decision thread meanwhile. Class: the news of an end waits in line behind what it should have ended. Change: where a read fills the buffer, the rest of the burst is read first, up to 128 KB, on eight connections at most, and 1 ms is given to the end; if it comes, the set-ups count as read from an ended connection. A malformed part drops its own messages only.

--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -37,6 +37,10 @@
 
     private static final int STACK_SIZE_BYTES = 256 * 1024;
 
+    private static final int MAX_READ_AHEAD_BYTES = 128 * 1024;
+    /** How long the end of a connection is waited for behind a burst. */
+    private static final int END_CHECK_TIMEOUT_MS = 1;
+
     final long id;
     private final InetSocketAddress peer;
     private final TransportLimits limits;
@@ -460,12 +464,19 @@
                 }
                 lastReadNanos = System.nanoTime();
                 messageStartNanos = framer.hasPartialMessage() ? messageStartNanos : System.nanoTime();
+                boolean isBurst = accepted && threadPool != null && fillsBuffer(bytesRead);
                 framer.advance(bytesRead);
-                for (byte[] message : nextMessages()) {
+                List<byte[]> messages = nextMessages();
+                StreamFramer.FramingException fault =
+                        isBurst && !messages.isEmpty() ? readAhead(input, messages) : null;
+                for (byte[] message : messages) {
                     listener.messageReceived(this, message);
                     messageStartNanos = System.nanoTime();
                     hasReceivedMessage = true;
                 }
+                if (fault != null) {
+                    throw fault;
+                }
                 handlingInput = false;
             }
         } catch (IOException | StreamFramer.FramingException e) {
@@ -499,6 +510,57 @@
                 : firstRead + Math.max(0, input.read(buffer, position + firstRead, remaining));
     }
 
+    private boolean fillsBuffer(int bytesRead) {
+        return framer.position() + bytesRead == framer.buffer().length;
+    }
+
+    /**
+     * Reads the rest of a burst before any of it is handed on, to see whether its peer has closed the connection behind
+     * it: the messages then count as read from a connection that has ended. Bounded in bytes and in connections; a burst
+     * beyond that is handed on in parts. Returns the fault of a part that is malformed, whose messages are dropped, or null.
+     */
+    private StreamFramer.FramingException readAhead(InputStream input, List<byte[]> messages) throws IOException {
+        if (!threadPool.beginReadAhead()) {
+            return null;
+        }
+        try {
+            for (int total = 0; total < MAX_READ_AHEAD_BYTES; ) {
+                int bytesRead = readAvailable(input);
+                if (bytesRead == 0) {
+                    return null;
+                }
+                if (bytesRead < 0) {
+                    close("ended by the peer behind a burst");
+                    return null;
+                }
+                total += bytesRead;
+                lastReadNanos = System.nanoTime();
+                framer.advance(bytesRead);
+                messages.addAll(nextMessages());
+            }
+            return null;
+        } catch (StreamFramer.FramingException e) {
+            return e;
+        } finally {
+            threadPool.endReadAhead();
+        }
+    }
+
+    /** Reads what is there; returns 0 if nothing comes for a moment, and -1 if the peer has closed the connection. */
+    private int readAvailable(InputStream input) throws IOException {
+        byte[] buffer = framer.buffer();
+        int position = framer.position();
+        socketTimeoutMs = END_CHECK_TIMEOUT_MS;
+        socket.setSoTimeout(END_CHECK_TIMEOUT_MS);
+        try {
+            return input.read(buffer, position, buffer.length - position);
+        } catch (SocketTimeoutException e) {
+            return 0;
+        } catch (SocketException e) {
+            return -1;
+        }
+    }
+
     private synchronized void beginHandlingInput() throws SocketException {
         if (closed) {
             throw new SocketException("closed");
@@ -522,7 +584,7 @@
     private List<byte[]> nextMessages() throws StreamFramer.FramingException {
         byte[] message = framer.nextMessage();
         if (message == null) {
-            return List.of();
+            return new ArrayList<>(0);
         }
         List<byte[]> messages = new ArrayList<>(2);
         for (; message != null; message = framer.nextMessage()) {
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -377,4 +377,40 @@
             }
         }
     }
+
+    private static String burst(int setUpCount) {
+        StringBuilder burst = new StringBuilder();
+        for (int i = 0; i < setUpCount; i++) {
+            burst.append(String.format(
+                    "INVITE sip:00000000000000bb@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\nCall-Kind: dear\r\n"
+                            + "Answer-Within: 3000\r\nRouting-Data: dest:1\r\nContent-Length: 0\r\n\r\n",
+                    i));
+        }
+        return burst.toString();
+    }
+
+    /** What follows a burst spoils the part that it was read with, not what came before. */
+    @Test(timeOut = 30_000)
+    public void validSetUpsBeforeAMalformedPartOfABurstArePassedOn() throws Exception {
+        send(connect(), burst(40) + "no start line\r\n\r\n");
+        assertTrue(setUps.poll(10, TimeUnit.SECONDS) != null, "the part before is passed on");
+    }
+
+    /** Guards against report 9d16c4, picture (d): set-ups of a client that had left were passed on. */
+    @Test(timeOut = 30_000)
+    public void aBurstWhoseClientHasLeftIsNotPassedOn() throws Exception {
+        Socket socket = connect();
+        send(socket, burst(40));
+        socket.close();
+        // Accepted, read and ended; nothing else tells that the connection was there at all.
+        Thread.sleep(100);
+        while (callers.connectionCount() > 0) {
+            Thread.sleep(1);
+        }
+        assertEquals(
+                setUps.stream()
+                        .filter(setUp -> !setUp.cancellation().isCancelled())
+                        .count(),
+                0);
+    }
 }
