--- a/src/test/java/martenslip/platform/DepartedCallerTest.java
+++ b/src/test/java/martenslip/platform/DepartedCallerTest.java
@@ -1,7 +1,5 @@
 package martenslip.platform;
 
-import static martenslip.platform.PlatformStandIn.instanceJson;
-import static martenslip.platform.PlatformStandIn.switchListEvent;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -35,12 +33,7 @@
         platform = new PlatformStandIn();
         switches = platform.startSwitches(3);
         PlatformStandIn.JournalStandIn journal = platform.new JournalStandIn();
-        String initialList = switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", switches.get(1).port(), 1, "up"),
-                instanceJson("s-2", switches.get(2).port(), 2, "up"));
+        String initialList = PlatformStandIn.initialList(switches);
         journal.addEvent(initialList);
         process = new ControllerProcess();
         process.launch(PlatformStandIn.writeTemporary(
--- a/src/test/java/martenslip/platform/HostileCallersTest.java
+++ b/src/test/java/martenslip/platform/HostileCallersTest.java
@@ -1,7 +1,5 @@
 package martenslip.platform;
 
-import static martenslip.platform.PlatformStandIn.instanceJson;
-import static martenslip.platform.PlatformStandIn.switchListEvent;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -76,12 +74,7 @@
             switchStandIn.startReporting();
             switchStandIn.serveAll();
         }
-        String initialList = switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", switches.get(1).port(), 1, "up"),
-                instanceJson("s-2", switches.get(2).port(), 2, "up"));
+        String initialList = PlatformStandIn.initialList(switches);
         journal.addEvent(initialList);
         process = new ControllerProcess();
         String configuration = PlatformStandIn.configuration(journal.port(), initialList)
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -373,6 +373,15 @@
                 + "\",\"weight\":1,\"startedAtMs\":" + startedAtMs + "}";
     }
 
+    /** The first event of a journal: these switches are up, each with its place in the list as id and number. */
+    static String initialList(List<SwitchStandIn> switches) {
+        String[] instances = new String[switches.size()];
+        for (int i = 0; i < instances.length; i++) {
+            instances[i] = instanceJson("s-" + i, switches.get(i).port(), i, "up");
+        }
+        return switchListEvent(1, true, instances);
+    }
+
     static String configuration(int journalPort, String... switchListEvents) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"00000000000000aa\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":64},\"journal\":\"127.0.0.1:" + journalPort + "\",\"known\":{\"pos\":"
--- a/src/test/java/martenslip/platform/ProcessSignalsTest.java
+++ b/src/test/java/martenslip/platform/ProcessSignalsTest.java
@@ -1,7 +1,5 @@
 package martenslip.platform;
 
-import static martenslip.platform.PlatformStandIn.instanceJson;
-import static martenslip.platform.PlatformStandIn.switchListEvent;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -44,11 +42,7 @@
     }
 
     private String initialSwitchList() {
-        return switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", switches.get(1).port(), 1, "up"));
+        return PlatformStandIn.initialList(switches);
     }
 
     private String configuration(PlatformStandIn.JournalStandIn journal) {
--- a/src/test/java/martenslip/platform/ReplacedProcessTest.java
+++ b/src/test/java/martenslip/platform/ReplacedProcessTest.java
@@ -56,12 +56,7 @@
         oldSwitch = switches.get(1);
         oldSwitch.answersTests = true;
         journal = platform.new JournalStandIn();
-        String initialList = switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", oldSwitch.port(), 1, "up"),
-                instanceJson("s-2", switches.get(2).port(), 2, "up"));
+        String initialList = PlatformStandIn.initialList(switches);
         journal.addEvent(initialList);
         process = new ControllerProcess();
         process.launch(PlatformStandIn.writeTemporary(
--- a/src/test/java/martenslip/platform/ReplacedSwitchTest.java
+++ b/src/test/java/martenslip/platform/ReplacedSwitchTest.java
@@ -53,12 +53,7 @@
         switches = platform.startSwitches(3);
         oldSwitch = switches.get(1);
         journal = platform.new JournalStandIn();
-        String initialList = switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", oldSwitch.port(), 1, "up"),
-                instanceJson("s-2", switches.get(2).port(), 2, "up"));
+        String initialList = PlatformStandIn.initialList(switches);
         Path configurationFile =
                 PlatformStandIn.writeTemporary(PlatformStandIn.configuration(journal.port(), initialList));
         journal.addEvent(initialList);
--- a/src/test/java/martenslip/platform/SilentConnectionsTest.java
+++ b/src/test/java/martenslip/platform/SilentConnectionsTest.java
@@ -1,7 +1,5 @@
 package martenslip.platform;
 
-import static martenslip.platform.PlatformStandIn.instanceJson;
-import static martenslip.platform.PlatformStandIn.switchListEvent;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
@@ -37,11 +35,7 @@
         platform = new PlatformStandIn();
         switches = platform.startSwitches(2);
         PlatformStandIn.JournalStandIn journal = platform.new JournalStandIn();
-        String list = switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", switches.get(1).port(), 1, "up"));
+        String list = PlatformStandIn.initialList(switches);
         journal.addEvent(list);
         service = new ControllerService(
                 PlatformStandIn.writeTemporary(PlatformStandIn.configuration(journal.port(), list)),
--- a/src/test/java/martenslip/platform/WriteRaceTest.java
+++ b/src/test/java/martenslip/platform/WriteRaceTest.java
@@ -35,11 +35,7 @@
         platform = new PlatformStandIn();
         switches = platform.startSwitches(2);
         journal = platform.new JournalStandIn();
-        String list = switchListEvent(
-                1,
-                true,
-                instanceJson("s-0", switches.get(0).port(), 0, "up"),
-                instanceJson("s-1", switches.get(1).port(), 1, "up"));
+        String list = PlatformStandIn.initialList(switches);
         journal.addEvent(list);
         service = new ControllerService(
                 PlatformStandIn.writeTemporary(PlatformStandIn.configuration(journal.port(), list)),
