serve: a restart keeps the connections to the new process also where no contact stands

Seen on rereading: without established contacts no connection was tested at a restart under one id, so all counted as the earlier process's and were closed, with the set-ups on those to the new one. Change: at a restart they are always tested. Evidence: aConnectionToARestartedProcessIsKept... failed before; it passes five times of five.

--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -186,7 +186,9 @@
     private void checkSuccession(SwitchEndpoint endpoint, long newSwitchId, Moment startedAt) {
         SuccessionCheck check = new SuccessionCheck(startedAt);
         endpoint.succession = new SwitchEndpoint.Succession(check, newSwitchId);
-        if (listener.hasEstablishedContactsAt(endpoint.id)) {
+        // Of a switch that is replaced by another one no connection is kept, so without contacts there is nothing to
+        // tell.
+        if (newSwitchId == endpoint.id || listener.hasEstablishedContactsAt(endpoint.id)) {
             for (SwitchConnection connection : endpoint.connections) {
                 if (connection.isUsable() && check.mayReachPresentProcess(connection.establishedAt)) {
                     check.tested(connection.number);
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -32,10 +32,12 @@
     private static final String LOAD = "{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:9;x1:9\"}}\n";
     private static final String STARTED =
             "{\"verb\":\"STARTED\",\"tag\":\"" + TAG + "\",\"opts\":{},\"blob\":\"c=x\"}\n";
+    private static final String ECHOED = "{\"verb\":\"ECHOED\",\"tag\":\"\",\"opts\":{},\"rc\":1}\n";
     private static final String FINISH = "{\"verb\":\"FINISH\",\"tag\":\"" + TAG + "\",\"opts\":{},\"rc\":16}\n";
 
     private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
     private final List<String> events = new ArrayList<>();
+    private boolean hasEstablishedContacts;
     private ServerSocket listenSocket;
     private SwitchConnections connections;
 
@@ -49,6 +51,7 @@
     public void connect() throws IOException {
         tasks.clear();
         events.clear();
+        hasEstablishedContacts = true;
         listenSocket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
         connections = new SwitchConnections(
                 TransportLimits.DEFAULTS,
@@ -106,7 +109,7 @@
 
         @Override
         public boolean hasEstablishedContactsAt(long switchId) {
-            return true;
+            return hasEstablishedContacts;
         }
 
         @Override
@@ -183,4 +186,19 @@
         started.run();
         assertEquals(events, List.of("connection ended", "connection ended", "process replaced"));
     }
+
+    /** A restart must not cost the set-ups on a connection that reaches the new process, whether or not contacts stand. */
+    @Test(timeOut = 30_000)
+    public void aConnectionToARestartedProcessIsKeptWithoutEstablishedContacts() throws Exception {
+        hasEstablishedContacts = false;
+        Socket first = listenSocket.accept();
+        Socket second = listenSocket.accept();
+        runTasks(2);
+        connections.processRestarted(SWITCH_ID, new Moment(System.nanoTime()));
+        assertEquals(events, List.of(), "the replies are awaited");
+        write(first, ECHOED);
+        write(second, ECHOED);
+        runTasks(2);
+        assertEquals(events, List.of("process replaced"));
+    }
 }
