--- a/src/test/java/martenslip/eventloop/EventLoopTest.java
+++ b/src/test/java/martenslip/eventloop/EventLoopTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** The event loop goes on after a fault of one of its tasks. */
 public class EventLoopTest {
     private final List<Throwable> failures = new CopyOnWriteArrayList<>();
     private EventLoop loop;
--- a/src/test/java/martenslip/platform/InboxQuotaTest.java
+++ b/src/test/java/martenslip/platform/InboxQuotaTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
+/** What callers may have in the inbox of the decision thread, by connection and in bytes. */
 public class InboxQuotaTest {
     private static final long CONNECTION = 1;
     private static final long OTHER_CONNECTION = 2;
--- a/src/test/java/martenslip/platform/UnixClockOffsetTest.java
+++ b/src/test/java/martenslip/platform/UnixClockOffsetTest.java
@@ -8,6 +8,7 @@
 import martenslip.control.Moment;
 import org.testng.annotations.Test;
 
+/** Times of the Unix clock on the monotonic clock. */
 public class UnixClockOffsetTest {
     private static final long NS_PER_MS = 1_000_000;
 
--- a/src/test/java/martenslip/platform/contact/NamedContactsTest.java
+++ b/src/test/java/martenslip/platform/contact/NamedContactsTest.java
@@ -5,6 +5,7 @@
 
 import org.testng.annotations.Test;
 
+/** Contacts that callers have named: bounded, and fair between connections. */
 public class NamedContactsTest {
     private static final long GENUINE = 1;
     private static final long HOSTILE = 2;
--- a/src/test/java/martenslip/platform/switchconnection/PendingFinishesTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/PendingFinishesTest.java
@@ -7,6 +7,7 @@
 import martenslip.control.Moment;
 import org.testng.annotations.Test;
 
+/** FINISH messages that a switch has not acknowledged, over a restart of its process. */
 public class PendingFinishesTest {
     private static final Moment NOW = new Moment(1_000_000_000);
 
--- a/src/test/java/martenslip/platform/switchconnection/SuccessionCheckTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SuccessionCheckTest.java
@@ -8,6 +8,7 @@
 import martenslip.control.Span;
 import org.testng.annotations.Test;
 
+/** Which connections reach the process that has followed at an address. */
 public class SuccessionCheckTest {
     private static final Moment STARTED_AT = atMs(10_000);
 
--- a/src/test/java/martenslip/sip/transport/ConnectionThreadPoolTest.java
+++ b/src/test/java/martenslip/sip/transport/ConnectionThreadPoolTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
+/** The writing threads go on after a fault of one write. */
 public class ConnectionThreadPoolTest {
     /** Guards against report 9d16c4: a writing thread that dies is never replaced, and the last one takes all output along. */
     @Test(timeOut = 20_000)
--- a/src/test/java/martenslip/sip/transport/RevocableMessageTest.java
+++ b/src/test/java/martenslip/sip/transport/RevocableMessageTest.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** What a revocable message keeps once its fate is decided. */
 public class RevocableMessageTest {
     private static final int MAX_COLLECTIONS = 50;
 
--- a/src/test/java/martenslip/sip/transport/UnsentBudgetTest.java
+++ b/src/test/java/martenslip/sip/transport/UnsentBudgetTest.java
@@ -6,6 +6,7 @@
 
 import org.testng.annotations.Test;
 
+/** The unsent bytes that connections share. */
 public class UnsentBudgetTest {
     /** Guards against report 9d16c4: answers that many clients leave unread took all memory together. */
     @Test
