CallerConnectionsTest: a burst's set-ups do not reach the next test

Trace by reading: the new test before it takes one set-up of a burst, and its reading thread adds the rest to the shared queue after the next test has cleared it. Change: the test waits until its connection has ended, which comes after all was passed on. The checks stay.

--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -389,11 +389,19 @@
         return burst.toString();
     }
 
+    /** What was read has been passed on by then, and reaches no later test. */
+    private void awaitNoConnection() throws InterruptedException {
+        while (callers.connectionCount() > 0) {
+            Thread.sleep(1);
+        }
+    }
+
     /** What follows a burst spoils the part that it was read with, not what came before. */
     @Test(timeOut = 30_000)
     public void validSetUpsBeforeAMalformedPartOfABurstArePassedOn() throws Exception {
         send(connect(), burst(40) + "no start line\r\n\r\n");
         assertTrue(setUps.poll(10, TimeUnit.SECONDS) != null, "the part before is passed on");
+        awaitNoConnection();
     }
 
     /** Guards against report 9d16c4, picture (d): set-ups of a client that had left were passed on. */
