--- a/review/9/Case9.java
+++ b/review/9/Case9.java
@@ -1,70 +1,82 @@
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
-/** The journal service is slow to answer; a switch drains, and its process stops 8 s later. */
+/** A restart; the usual client names its calls; bad clients on many connections name calls that no switch knows. */
 public final class Case9 {
-    /** The journal service's answer to a request begins this long after the request; its time-out is 2 s. */
-    private static final int SLOW_MS = 1800;
-    /** An event counts as told 4 s after it is in the journal service at the latest; the least favourable reading. */
-    private static final int TOLD_MS = 4000;
-    private static final int GRACE_MS = 500;
-    private static final int SLACK_MS = 50;
-    private static final int DRAIN_MS = 8000;
+    private static final int CALLS = 60;
+    private static final int BAD_CONNECTIONS = 240;
+    private static final int NAMINGS_EACH = 40;
 
-    /** The settings of the small deployment with the names and times of rider-hub-lines. */
-    private static final String SETTINGS = Lab.SETTINGS
-            .replace("label-status", "pickup-query")
-            .replace("pickup-slot", "doorstep-hold")
-            .replace("\"drain-grace-ns\":2000000000", "\"drain-grace-ns\":500000000")
-            .replace("\"release-ns\":500000000", "\"release-ns\":300000000")
-            .replace("\"fall-multiple\":3.0,\"fall-ns\":1500000000", "\"fall-multiple\":2.0,\"fall-ns\":1000000000");
+    private static String hex() {
+        return String.format("%016x", ThreadLocalRandom.current().nextLong());
+    }
 
     public static void main(String[] arguments) {
-        Lab.main(arguments[0], 90, lab -> {
+        Lab.main(arguments[0], 110, lab -> {
             Lab.Journal journal = lab.new Journal();
-            Lab.Switch home = lab.new Switch("s-0", 0);
-            Lab.Switch one = lab.new Switch("s-1", 1);
-            Lab.Switch two = lab.new Switch("s-2", 2);
-            journal.list(true, home.entry("up", 0), one.entry("up", 0), two.entry("up", 0));
-            if (lab.trouble) {
-                journal.slowMs = SLOW_MS;
-                lab.note("the journal service answers each request after " + SLOW_MS + " ms");
+            Lab.Switch[] switches = new Lab.Switch[4];
+            String[] entries = new String[4];
+            for (int i = 0; i < entries.length; i++) {
+                switches[i] = lab.new Switch("s-" + i, i);
+                entries[i] = switches[i].entry("up", 0);
+            }
+            journal.list(true, entries);
+            lab.configure(journal, 1024, 192);
+            lab.startController();
+            Lab.Client usual = lab.client("usual");
+            Lab.Client.Line line = usual.open();
+            List<String> calls = new ArrayList<>();
+            for (int i = 0; i < CALLS; i++) {
+                calls.add(line.invite("label-status", 1, 3000));
+                Lab.sleep(40);
+            }
+            if (!lab.await(4000, () -> calls.stream().allMatch(tag -> "200".equals(usual.answers.get(tag))))) {
+                lab.note("not all calls stand before the restart");
+                return Lab.COULD_NOT_RUN;
             }
-            lab.configure(journal, 256, 192, SETTINGS);
+            Lab.sleep(300);
+            lab.signal("KILL");
+            lab.awaitControllerEnd(10);
             lab.startController();
-            Lab.Client client = lab.client("client");
-            AtomicBoolean stop = new AtomicBoolean();
-            Lab.Client.Line line = client.open();
-            Thread traffic = new Thread(() -> {
-                try {
-                    while (!stop.get()) {
-                        String tag = line.invite("pickup-query", 1, 3000);
-                        lab.await(3500, () -> client.answers.containsKey(tag));
-                        Lab.sleep(80);
-                        if ("200".equals(client.answers.get(tag)) && line.open.isEmpty() && client.ownCalls.contains(tag)) {
-                            line.bye(tag);
-                        }
-                        Lab.sleep(100);
+            Lab.Client.Line again = usual.open();
+            for (String tag : calls) {
+                again.name(tag, "s-1");
+            }
+            Lab.sleep(500);
+            if (lab.trouble) {
+                lab.note(BAD_CONNECTIONS + " connections of bad clients, " + NAMINGS_EACH
+                        + " namings of unknown ids on each");
+                for (int i = 0; i < BAD_CONNECTIONS; i++) {
+                    Lab.Client bad = lab.client("bad-" + i);
+                    bad.quiet = true;
+                    Lab.Client.Line badLine = bad.open();
+                    StringBuilder text = new StringBuilder();
+                    for (int k = 0; k < NAMINGS_EACH; k++) {
+                        text.append(Lab.setUp(hex(), hex(), "label-status", 9000, "dest:2;width:1;via:-1;at:s-2", "x\r\n"));
+                    }
+                    try {
+                        badLine.send(text.toString());
+                    } catch (IOException e) {
+                        lab.note("bad-" + i + ": " + e);
                     }
-                } catch (Exception e) {
-                    lab.note("client: " + e);
                 }
-            });
-            traffic.setDaemon(true);
-            traffic.start();
-            Lab.sleep(8000);
-            int before = one.starts.size();
-            journal.list(false, one.entry("draining", 0));
-            Lab.sleep(TOLD_MS + GRACE_MS + SLACK_MS);
-            int atLimit = one.starts.size();
-            lab.note("the grace is over; set-ups at s-1 before the drain " + before + ", since " + (atLimit - before));
-            Lab.sleep(DRAIN_MS - TOLD_MS - GRACE_MS - SLACK_MS);
-            int after = one.starts.size() - atLimit;
-            one.die();
-            journal.list(false, one.entry("removed", 0));
-            stop.set(true);
-            Lab.sleep(500);
-            lab.note("set-ups that reached the draining s-1 after the grace: " + after);
-            return before < 10 ? Lab.COULD_NOT_RUN : after > 0 ? Lab.BROKEN : Lab.HELD;
+            }
+            Lab.sleep(2000);
+            for (String tag : calls) {
+                switches[1].release(tag, 16);
+                Lab.sleep(20);
+            }
+            // Within 1 s of the switch's release; 8 s where no release could be sent; 50 ms of slack.
+            lab.await(8050, () -> calls.stream().allMatch(usual.releasedAtMs::containsKey));
+            List<String> never = calls.stream().filter(tag -> !usual.releasedAtMs.containsKey(tag)).toList();
+            lab.note("calls that ended at the switch: " + calls.size() + "; never released towards their client: "
+                    + never.size() + " " + never);
+            lab.note("the usual client's connection is " + (again.ended ? "ended" : "open") + "; controller alive "
+                    + lab.controllerIsAlive());
+            lab.quoteLog(6, "named-given-up:", "early-release:");
+            return never.isEmpty() && lab.controllerIsAlive() ? Lab.HELD : Lab.BROKEN;
         });
     }
 }
