--- a/src/main/java/martenslip/RoutingPolicy.java
+++ b/src/main/java/martenslip/RoutingPolicy.java
@@ -82,6 +82,9 @@
     /** Minimum time between two probes of the home switch, as a share of the urgent answer target. */
     static final double PROBE_INTERVAL_TARGET_SHARE = 0.4;
 
+    /** Numbers whose first try is remembered; a redial of one that was forgotten counts as a first try. */
+    static final int MAX_FIRST_TRIES = 16_384;
+
     static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
 
     /** Why a switch or group denied a circuit. */
@@ -352,6 +355,42 @@
         }
     }
 
+    /**
+     * The requests that wait for a circuit of one switch, by rank and then in the order in which they came; each contact
+     * has at most one.
+     */
+    static final class WaitingRequests {
+        private final Map<Integer, Map<Long, CircuitRequest>> requestsByRank = new TreeMap<>();
+
+        void add(CircuitRequest request) {
+            requestsByRank
+                    .computeIfAbsent(request.skill.rank, rank -> new LinkedHashMap<>())
+                    .put(request.contact.id(), request);
+        }
+
+        void remove(long contact) {
+            requestsByRank.values().forEach(requests -> requests.remove(contact));
+        }
+
+        /** Removes and returns all requests in their order. */
+        List<CircuitRequest> takeAll() {
+            List<CircuitRequest> taken = new ArrayList<>(size());
+            for (Map<Long, CircuitRequest> requests : requestsByRank.values()) {
+                taken.addAll(requests.values());
+                requests.clear();
+            }
+            return taken;
+        }
+
+        boolean isEmpty() {
+            return size() == 0;
+        }
+
+        int size() {
+            return requestsByRank.values().stream().mapToInt(Map::size).sum();
+        }
+    }
+
     /** Circuits that a ring holds on the group; {@code sentAt} is null once the contact is established. */
     private record HeldCircuits(Skill skill, int width, Moment sentAt) {}
 
@@ -377,7 +416,7 @@
         final DecayingHistogram urgentDemand = newCount(urgentSkill.meanHold);
 
         Map<Integer, TandemWeight> tandemWeights = new TreeMap<>();
-        final List<CircuitRequest> waitingRequests = new ArrayList<>();
+        final WaitingRequests waitingRequests = new WaitingRequests();
         boolean retryTimerRunning;
         /** A ring timed out with no response since it was sent. */
         boolean unresponsive;
@@ -487,7 +526,7 @@
         }
 
         HeldCircuits releaseCircuits(long contact) {
-            waitingRequests.removeIf(request -> request.contact.id() == contact);
+            waitingRequests.remove(contact);
             HeldCircuits heldRing =
                     inFlight.containsKey(contact) ? inFlight.remove(contact) : established.remove(contact);
             if (heldRing != null) {
@@ -671,12 +710,7 @@
                 contactManager.enqueue(new CircuitDenied(request.contact.id(), this != request.destination));
                 return;
             }
-            int position = 0;
-            while (position < waitingRequests.size()
-                    && waitingRequests.get(position).skill.rank <= request.skill.rank) {
-                position++;
-            }
-            waitingRequests.add(position, request);
+            waitingRequests.add(request);
             if (!retryTimerRunning) {
                 retryTimerRunning = true;
                 orders.startTimer(
@@ -752,9 +786,7 @@
         }
 
         void retryWaitingRequests() {
-            List<CircuitRequest> requests = new ArrayList<>(waitingRequests);
-            waitingRequests.clear();
-            for (CircuitRequest request : requests) {
+            for (CircuitRequest request : waitingRequests.takeAll()) {
                 if (now.before(request.waitUntil)) {
                     handleRequest(request.asRetry());
                 }
@@ -804,13 +836,16 @@
     /** Keeps the contacts that are owed a final answer, and gives all orders for them. */
     final class ContactManager extends Actor<ContactManager> {
         final Map<Long, OpenContact> openContacts = new LinkedHashMap<>();
+        /** The number of contacts whose ring is in flight, by the switch that was asked. */
+        final Map<Switch, Integer> ringsByTarget = new HashMap<>();
+
         final Map<Long, Moment> firstTryByNumber = new LinkedHashMap<>();
         Moment probedAt = NEVER;
         /** When the module started, or null once its groups were sent to the peers. */
         Moment groupsUnsentSince = now;
 
         void established(long contact) {
-            OpenContact openContact = openContacts.remove(contact);
+            OpenContact openContact = removeOpen(contact);
             if (openContact == null) {
                 return;
             }
@@ -860,7 +895,11 @@
         }
 
         void startTimer(OpenContact openContact, Moment expiry) {
-            orders.startTimer(expiry.since(now).atLeast(timerRound), openContact.contact.id() * 2);
+            orders.startTimer(expiry.since(now).atLeast(timerRound), timerToken(openContact.contact.id()));
+        }
+
+        private static long timerToken(long contact) {
+            return contact * 2;
         }
 
         void contactOffered(Contact contact) {
@@ -873,6 +912,9 @@
                     firstTryAt.hasNext() && now.since(firstTryAt.next()).longerThan(maxPatience); ) {
                 firstTryAt.remove();
             }
+            if (firstTryByNumber.size() >= MAX_FIRST_TRIES) {
+                firstTryByNumber.remove(firstTryByNumber.keySet().iterator().next());
+            }
             Moment firstTryAt = contact.dialledNumber() == 0 || contact.inTransit()
                     ? now
                     : firstTryByNumber.computeIfAbsent(contact.dialledNumber(), any -> now);
@@ -910,7 +952,7 @@
                 defer(openContact);
                 return;
             }
-            openContact.state = ContactState.AWAITING_CIRCUIT;
+            changeState(openContact, ContactState.AWAITING_CIRCUIT);
             (openContact.requested || homeSwitch() == null ? openContact.destination : homeSwitch())
                     .enqueue(new CircuitRequest(
                             openContact.contact,
@@ -926,14 +968,34 @@
 
         /** Rings in flight; a switch that answers none of them counts for a few only. */
         int countRingsInFlight() {
-            Map<Switch, Integer> ringsBySwitch = new HashMap<>();
-            openContacts.values().stream()
-                    .filter(openContact -> openContact.state == ContactState.RINGING)
-                    .forEach(openContact -> ringsBySwitch.merge(
-                            openContact.ringTarget,
-                            1,
-                            (sum, count) -> Math.min(MAX_COUNTED_RINGS_PER_SWITCH, sum + count)));
-            return ringsBySwitch.values().stream().mapToInt(count -> count).sum();
+            return ringsByTarget.values().stream()
+                    .mapToInt(count -> Math.min(MAX_COUNTED_RINGS_PER_SWITCH, count))
+                    .sum();
+        }
+
+        void changeState(OpenContact openContact, ContactState state) {
+            forgetRing(openContact);
+            openContact.state = state;
+            if (state == ContactState.RINGING) {
+                ringsByTarget.merge(openContact.ringTarget, 1, Integer::sum);
+            }
+        }
+
+        private void forgetRing(OpenContact openContact) {
+            if (openContact.state == ContactState.RINGING) {
+                ringsByTarget.computeIfPresent(
+                        openContact.ringTarget, (target, count) -> count == 1 ? null : count - 1);
+            }
+        }
+
+        /** Removes an open contact; its state stays as it was. Returns null if it was not open. */
+        private OpenContact removeOpen(long contact) {
+            OpenContact removed = openContacts.remove(contact);
+            if (removed != null) {
+                forgetRing(removed);
+                orders.cancelTimers(timerToken(contact));
+            }
+            return removed;
         }
 
         void circuitGranted(long contact, Switch target) {
@@ -944,16 +1006,15 @@
                 target.enqueue(new ReleaseCircuits(contact));
                 return;
             }
-            openContact.state = ContactState.RINGING;
             openContact.ringTarget = target;
+            changeState(openContact, ContactState.RINGING);
             openContact.triedSwitches.add(target.id);
             openContact.ringCount++;
             orders.ring(contact, target.id, openContact.answerBy.since(now));
         }
 
         void ringEnded(RingEnd end) {
-            OpenContact openContact =
-                    end.answered() ? openContacts.remove(end.contact()) : openContacts.get(end.contact());
+            OpenContact openContact = end.answered() ? removeOpen(end.contact()) : openContacts.get(end.contact());
             if (openContact == null || end.answered() || end.ring() != openContact.ringCount - 1) {
                 return;
             }
@@ -976,7 +1037,7 @@
         }
 
         void retryAt(OpenContact openContact, Moment retryTime) {
-            openContact.state = ContactState.AWAITING_RETRY;
+            changeState(openContact, ContactState.AWAITING_RETRY);
             openContact.retryAt = retryTime;
             startTimer(openContact, retryTime);
         }
@@ -1011,7 +1072,7 @@
 
         /** Ends an open contact and releases the circuits it holds; returns false if it was not open. */
         boolean close(OpenContact openContact) {
-            if (openContact == null || openContacts.remove(openContact.contact.id()) == null) {
+            if (openContact == null || removeOpen(openContact.contact.id()) == null) {
                 return false;
             }
             if (openContact.state == ContactState.AWAITING_CIRCUIT && openContact.destination != null) {
--- a/src/main/java/martenslip/control/Orders.java
+++ b/src/main/java/martenslip/control/Orders.java
@@ -14,9 +14,12 @@
     /** Final answer: failed. */
     void abandon(long contact);
 
-    /** Requests {@link Controller#timerExpired} after {@code delay}; a timer can't be cancelled. */
+    /** Requests {@link Controller#timerExpired} after {@code delay}. */
     void startTimer(Span delay, long token);
 
+    /** The timers with this token have no effect any more: whoever keeps them may drop them. */
+    default void cancelTimers(long token) {}
+
     /** Requests a report of the switch; see {@link Controller#switchReported}. */
     void probe(long target);
 
--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -32,6 +32,7 @@
 import martenslip.sip.transport.ConnectionThreadPool;
 import martenslip.sip.transport.DropCounter;
 import martenslip.sip.transport.QueuedMessage;
+import martenslip.sip.transport.ReadBudget;
 import martenslip.sip.transport.TransportLimits;
 import martenslip.sip.transport.UnsentBudget;
 
@@ -62,9 +63,17 @@
     private static final long MAX_UNSENT_BYTES_TO_ALL_CALLERS = 4L << 20;
     /** Two messages of the greatest size. */
     private static final int FAIR_UNSENT_BYTES = 32 * 1024;
+    /** Callers' messages over the size of an initial buffer: while they are read, and while they are handed on. */
+    private static final int MAX_LARGE_BUFFER_BYTES = 6 << 20;
+
+    private static final int MAX_HAND_OVER_BYTES = 2 << 20;
+    private static final int MAX_READ_AHEAD_BYTES = 2 << 20;
     /** What waits for a switch is bounded by the memory of open contacts; a sound connection must not end by a burst. */
     private static final int MAX_UNSENT_BYTES_TO_SWITCH = 1 << 20;
 
+    /** A set-up that finds no room in the inbox for this long is refused. */
+    private static final Span MAX_ADMISSION_WAIT = Span.ofMillis(500);
+
     private static final Span WRITE_STALL_TIMEOUT = Span.ofMillis(3000);
     private static final Span READY_POLL_INTERVAL = Span.ofMillis(10);
     private static final int SHUTDOWN_THREAD_STACK_BYTES = 128 * 1024;
@@ -73,9 +82,10 @@
     private final RateLimitedLog log;
     private final DropCounter drops = new DropCounter();
     private final ConnectionThreadPool connectionThreads = new ConnectionThreadPool("desk", 16);
-    private final InboxQuota inboxQuota = new InboxQuota();
     private final EventLoop loop = new EventLoop("desk", INBOX_CAPACITY);
     private final TimerWheel wheel = loop.timerWheel();
+    private final CallerInbox callerInbox =
+            new CallerInbox(this::executeOnDecisionThread, this::runLaterOnDecisionThread);
     private final CountDownLatch terminated = new CountDownLatch(1);
     private final ContactTable contactTable;
     private final CallerConnections callerConnections;
@@ -120,7 +130,8 @@
                 MAX_UNSENT_BYTES,
                 WRITE_STALL_TIMEOUT,
                 CALLER_CONNECT_TIMEOUT,
-                new UnsentBudget(MAX_UNSENT_BYTES_TO_ALL_CALLERS, FAIR_UNSENT_BYTES));
+                new UnsentBudget(MAX_UNSENT_BYTES_TO_ALL_CALLERS, FAIR_UNSENT_BYTES),
+                new ReadBudget(MAX_LARGE_BUFFER_BYTES, MAX_HAND_OVER_BYTES, MAX_READ_AHEAD_BYTES));
         callerConnections =
                 new CallerConnections(contactSettings, callerLimits, connectionThreads, drops, callerListener);
         Span connectTimeout = spanSetting(settings, "policy-limits.connect-timeout-ns", 500e6);
@@ -243,15 +254,17 @@
         log.write(
                 "counts",
                 contactTable.counters() + " open=" + contactTable.openCount() + " standing="
-                        + contactTable.establishedCount() + " unheard="
+                        + contactTable.establishedCount() + " no-ack="
+                        + contactTable.unacknowledgedCount() + " unheard="
                         + contactTable.unacknowledgedReleaseCount() + " unclaimed-ends="
                         + contactTable.unclaimedEndCount() + " unconfirmed="
                         + contactTable.countUnconfirmed(switchConnections::oldestConnectionNumber) + " lines="
                         + callerConnections.connectionCount()
                         + " switch-lines="
                         + switchConnections.connectionCount()
-                        + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " waiting-kb="
-                        + inboxQuota.usedBytes() / 1024
+                        + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " callers-waiting="
+                        + callerInbox.size() + " waiting-kb=" + callerInbox.usedBytes() / 1024 + " waits="
+                        + callerInbox.takeWaitsText()
                         + " open-kb=" + contactTable.openBytes() / 1024 + " drops="
                         + drops.counts());
         wheel.scheduleAfter(COUNTS_LOG_INTERVAL, this::logCounts);
@@ -321,7 +334,7 @@
     public void close() {
         // Must be first: connections closed from here on must not be reported as callers that have gone.
         loop.close();
-        inboxQuota.close();
+        callerInbox.close();
         try {
             callerConnections.close();
         } catch (IOException e) {
@@ -347,6 +360,29 @@
         loop.put(task, () -> drops.increment("waited for the deciding thread"));
     }
 
+    /** Runs a task on the decision thread as {@link #runOnDecisionThread}, but waits through an interrupt. */
+    private void executeOnDecisionThread(Runnable task) {
+        boolean wasInterrupted = false;
+        while (true) {
+            try {
+                runOnDecisionThread(task);
+                break;
+            } catch (InterruptedException e) {
+                wasInterrupted = true;
+            }
+        }
+        if (wasInterrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Runs a task behind what the inbox of the decision thread holds; called on that thread. */
+    private void runLaterOnDecisionThread(Runnable task) {
+        if (!loop.offer(task)) {
+            wheel.scheduleAfter(Span.ZERO, task);
+        }
+    }
+
     private static ContactSettings contactSettings(Map<String, String> settings) {
         int skillCount = (int) numberSetting(settings, "classes.count", 0);
         String[] skillNames = new String[skillCount];
@@ -375,50 +411,29 @@
     private final CallerConnections.Listener callerListener = new CallerConnections.Listener() {
         @Override
         public boolean setUpReceived(SetUpRequest request) throws InterruptedException {
-            Runnable task = () -> {
-                if (request.establishedSwitch() == null) {
-                    contactTable.setUpReceived(request);
-                } else if (switchRegistry.switchId(request.establishedSwitch()) == 0) {
-                    contactTable.establishedContactReportedAtUnknownSwitch(request);
-                } else {
-                    contactTable.establishedContactReported(
-                            request, switchRegistry.switchId(request.establishedSwitch()));
-                }
-            };
             long bytes = RequestMemory.of(request.invite());
             if (request.establishedSwitch() == null) {
-                inboxQuota.acquire(request.connectionId(), bytes);
-                boolean isQueued = loop.offer(releasingQuota(request.connectionId(), bytes, task));
-                if (!isQueued) {
-                    inboxQuota.release(request.connectionId(), bytes);
-                }
-                return isQueued;
+                return callerInbox.tryAdd(
+                        request.connectionId(), bytes, MAX_ADMISSION_WAIT, () -> contactTable.setUpReceived(request));
             }
             // A contact that is already established expects no answer, so it cannot be refused, and nobody else would
             // ever release it.
-            runForCaller(request.connectionId(), bytes, task);
+            callerInbox.add(request.connectionId(), bytes, () -> nameContact(request));
             return true;
         }
 
-        /** Runs a task on the decision thread within the bounds of what a caller may have in the inbox. */
-        private void runForCaller(long connectionId, long bytes, Runnable task) throws InterruptedException {
-            inboxQuota.acquire(connectionId, bytes);
-            runOnDecisionThread(releasingQuota(connectionId, bytes, task));
-        }
-
-        private Runnable releasingQuota(long connectionId, long bytes, Runnable task) {
-            return () -> {
-                try {
-                    task.run();
-                } finally {
-                    inboxQuota.release(connectionId, bytes);
-                }
-            };
+        private void nameContact(SetUpRequest request) {
+            long switchId = switchRegistry.switchId(request.establishedSwitch());
+            if (switchId == 0) {
+                contactTable.establishedContactReportedAtUnknownSwitch(request);
+            } else {
+                contactTable.establishedContactReported(request, switchId);
+            }
         }
 
         @Override
         public void requestReceived(long connectionId, Request request) throws InterruptedException {
-            runForCaller(connectionId, RequestMemory.of(request), () -> {
+            callerInbox.add(connectionId, RequestMemory.of(request), () -> {
                 switch (request.method()) {
                     case "CANCEL" -> contactTable.cancelReceived(connectionId, request);
                     case "BYE" -> contactTable.byeReceived(connectionId, request);
@@ -428,13 +443,18 @@
         }
 
         @Override
-        public void releaseAcknowledged(String tag) throws InterruptedException {
-            runOnDecisionThread(() -> contactTable.releaseAcknowledged(tag));
+        public void releaseAcknowledged(long connectionId, String tag) throws InterruptedException {
+            callerInbox.add(connectionId, 0, () -> contactTable.releaseAcknowledged(tag));
         }
 
         @Override
         public void connectionEnded(long connectionId) throws InterruptedException {
-            runOnDecisionThread(() -> contactTable.callerConnectionEnded(connectionId));
+            Runnable task = () -> contactTable.callerConnectionEnded(connectionId);
+            if (Thread.currentThread() == decisionThread) {
+                callerInbox.addWithoutWaiting(connectionId, task);
+            } else {
+                callerInbox.add(connectionId, 0, task);
+            }
         }
 
         @Override
--- a/src/main/java/martenslip/platform/caller/CallerConnection.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import martenslip.control.Span;
 import martenslip.platform.contact.CallerCancellation;
 import martenslip.sip.transport.Connection;
 import martenslip.sip.transport.OutgoingMessage;
@@ -19,6 +20,11 @@
                     ? Boolean.compare(first.hasSentValidMessage, second.hasSentValidMessage)
                     : Long.signum(first.activity.lastActivityNs() - second.activity.lastActivityNs());
 
+    /** Answers by the reading thread in a row, and the time for each further one. */
+    private static final int MAX_ANSWERS_HERE = 20;
+
+    private static final Span ANSWER_HERE_INTERVAL = Span.ofMillis(50);
+
     final Connection connection;
     final ConnectionActivity activity;
     /** Cancellation marks of the open set-ups by Call-ID; a Call-ID names at most one of them. */
@@ -29,6 +35,9 @@
     volatile boolean hasAnsweredRelease;
 
     int invalidMessages;
+    /** Limits the answers that the reading thread gives by itself. */
+    final TokenBucket answersHere;
+
     private final LongSupplier clock;
 
     /** {@code clock} gives values of {@link System#nanoTime}. */
@@ -36,6 +45,7 @@
         this.connection = connection;
         this.clock = clock;
         activity = new ConnectionActivity(clock.getAsLong());
+        answersHere = new TokenBucket(MAX_ANSWERS_HERE, ANSWER_HERE_INTERVAL, clock.getAsLong());
     }
 
     /** Queues the 200 of a set-up, which stays open until it has been written; false if the connection has ended. */
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -37,6 +37,7 @@
     /** Holds a set-up of the usual size. */
     private static final int INITIAL_BUFFER_BYTES = 1024;
 
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
     private static final int STACK_BYTES = 128 * 1024;
     private static final int LISTEN_BACKLOG = 512;
 
@@ -54,17 +55,14 @@
 
     /** Receives valid messages; called by reading threads, which it may block. */
     public interface Listener {
-        /**
-         * A caller requests a set-up. Returns false if there is no room for it: the reading thread must not wait, so
-         * that it can read the caller's next message.
-         */
+        /** A caller requests a set-up. Returns false if there was no room for it for some time, and it is to be refused. */
         boolean setUpReceived(SetUpRequest request) throws InterruptedException;
 
         /** A CANCEL, BYE or ACK was received. */
         void requestReceived(long connectionId, Request request) throws InterruptedException;
 
         /** The caller answered a BYE. */
-        void releaseAcknowledged(String tag) throws InterruptedException;
+        void releaseAcknowledged(long connectionId, String tag) throws InterruptedException;
 
         /** The connection has ended, for whatever reason. */
         void connectionEnded(long connectionId) throws InterruptedException;
@@ -132,6 +130,9 @@
     /** Starts listening and returns the local port. */
     public int open(InetSocketAddress address) throws IOException {
         serverSocket.setReuseAddress(true);
+        // Inherited by the accepted sockets: what waits there for a reading thread is bounded, and so is what hides the
+        // end.
+        serverSocket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         serverSocket.bind(address, LISTEN_BACKLOG);
         Thread acceptThread = new Thread(null, this::acceptUntilClosed, "accept", STACK_BYTES);
         acceptThread.setDaemon(true);
--- a/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
+++ b/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
@@ -1,7 +1,9 @@
 package martenslip.platform.caller;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
 import martenslip.control.Moment;
+import martenslip.control.Span;
 import martenslip.platform.contact.CallerCancellation;
 import martenslip.platform.contact.CallerMessages;
 import martenslip.platform.contact.SetUpRequest;
@@ -20,6 +22,9 @@
     /** Invalid messages answered on one connection; at the next it is closed. */
     private static final int MAX_INVALID_MESSAGES = 3;
 
+    /** When a caller may come again that is refused for its overdue ACKs. */
+    private static final Span OVERDUE_RETRY_DELAY = Span.ofMillis(500);
+
     private final SetUpParser setUpParser;
     private final CallerConnections.Listener listener;
     private final DropCounter drops;
@@ -45,7 +50,7 @@
         long connectionId = caller.connection.id();
         if (message instanceof Response response) {
             caller.hasAnsweredRelease = true;
-            releaseAnswered(response);
+            releaseAnswered(connectionId, response);
             caller.activity.acknowledged(response.callId());
             return;
         }
@@ -64,7 +69,7 @@
             case "OPTIONS" -> {
                 caller.hasSentValidMessage = true;
                 boolean ready = listener.isReady();
-                caller.connection.send(CallerMessages.response(request, ready ? 200 : 503, ready ? "OK" : "Not Ready"));
+                answerHere(caller, CallerMessages.response(request, ready ? 200 : 503, ready ? "OK" : "Not Ready"));
             }
             default -> rejectMessage(caller, request, "no such method");
         }
@@ -95,7 +100,7 @@
             return;
         }
         if (parsed.message() instanceof Response response) {
-            releaseAnswered(response);
+            releaseAnswered(connectionId, response);
             return;
         }
         Request request = (Request) parsed.message();
@@ -121,9 +126,9 @@
         drops.increment("message after its connection");
     }
 
-    private void releaseAnswered(Response response) throws InterruptedException {
+    private void releaseAnswered(long connectionId, Response response) throws InterruptedException {
         if (response.headers().first("CSeq").endsWith("BYE")) {
-            listener.releaseAcknowledged(response.callId());
+            listener.releaseAcknowledged(connectionId, response.callId());
         }
     }
 
@@ -136,9 +141,14 @@
             rejectMessage(caller, invite, e.getMessage());
             return;
         }
+        if (request.establishedSwitch() == null && caller.activity.hasOverdueAck(System.nanoTime())) {
+            drops.increment("set-up of a caller that leaves answers without ACK");
+            answerHere(caller, CallerMessages.deferred(invite, OVERDUE_RETRY_DELAY));
+            return;
+        }
         if (!caller.activity.addSetUp()) {
             drops.increment("too many set-ups open on a line");
-            caller.connection.send(CallerMessages.response(invite, 503, "Too Many Open"));
+            answerHere(caller, CallerMessages.response(invite, 503, "Too Many Open"));
             return;
         }
         caller.hasSentValidMessage = true;
@@ -153,6 +163,16 @@
         }
     }
 
+    /**
+     * Sends an answer that takes no turn of the decision thread. A connection that asks for many of them is read at a
+     * limited rate, as hundreds of reading threads would leave the decision thread no processor time.
+     */
+    private static void answerHere(CallerConnection caller, byte[] response) throws InterruptedException {
+        caller.connection.send(response);
+        Span wait = caller.answersHere.take(System.nanoTime());
+        TimeUnit.NANOSECONDS.sleep(wait.ns());
+    }
+
     private void rejectMessage(CallerConnection caller, Request request, String reason) {
         drops.increment("wrong", reason);
         if (request == null || ++caller.invalidMessages > MAX_INVALID_MESSAGES) {
--- a/src/main/java/martenslip/platform/caller/ConnectionActivity.java
+++ b/src/main/java/martenslip/platform/caller/ConnectionActivity.java
@@ -21,6 +21,12 @@
     /** How long a 200 that was written waits for its ACK. */
     static final Span ACK_TIMEOUT = Span.ofMillis(1000);
 
+    /** An answer whose ACK has not come for this long is overdue: the caller gets no further call until it comes. */
+    static final Span ACK_OVERDUE = Span.ofMillis(2000);
+
+    /** How long an overdue ACK counts against the caller. */
+    private static final Span MAX_OVERDUE_AGE = Span.ofMillis(10_000);
+
     /** Answers that may wait for their ACK; the oldest is no longer awaited when there is one more. */
     static final int MAX_UNACKNOWLEDGED = 256;
 
@@ -85,14 +91,20 @@
 
     /** The number of answers that wait for their ACK. */
     synchronized int unacknowledgedCount(long nowNs) {
+        return (int) answerTimesNs.values().stream()
+                .filter(answeredNs -> nowNs - answeredNs <= ACK_TIMEOUT.ns())
+                .count();
+    }
+
+    /** Whether the caller has left an answer without its ACK for {@link #ACK_OVERDUE}. */
+    synchronized boolean hasOverdueAck(long nowNs) {
         forgetUnacknowledged(nowNs);
-        return answerTimesNs.size();
+        return answerTimesNs.values().stream().anyMatch(answeredNs -> nowNs - answeredNs > ACK_OVERDUE.ns());
     }
 
     /** Whether no set-up is open and no ACK is awaited. */
     synchronized boolean isSettled(long nowNs) {
-        forgetUnacknowledged(nowNs);
-        return openSetUps <= 0 && answerTimesNs.isEmpty();
+        return openSetUps <= 0 && unacknowledgedCount(nowNs) == 0;
     }
 
     /** Whether the connection is settled and nothing was received or answered for {@link #MIN_IDLE}. */
@@ -111,6 +123,6 @@
     }
 
     private void forgetUnacknowledged(long nowNs) {
-        answerTimesNs.values().removeIf(answeredNs -> nowNs - answeredNs > ACK_TIMEOUT.ns());
+        answerTimesNs.values().removeIf(answeredNs -> nowNs - answeredNs > MAX_OVERDUE_AGE.ns());
     }
 }
--- a/src/main/java/martenslip/platform/contact/CallerMessages.java
+++ b/src/main/java/martenslip/platform/contact/CallerMessages.java
@@ -22,7 +22,7 @@
     }
 
     /** The 503 response to an INVITE; a delay above zero is sent as {@code Come-Back-Ms}. */
-    static byte[] deferred(Request invite, Span retryDelay) {
+    public static byte[] deferred(Request invite, Span retryDelay) {
         Response response = invite.createResponse(503, "Service Unavailable", null);
         if (retryDelay.longerThan(Span.ZERO)) {
             response.headers().add("Come-Back-Ms", retryDelay.ns() / 1_000_000);
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -42,6 +42,11 @@
     /** When a caller may come again whose set-up found no memory. */
     private static final Span NO_MEMORY_RETRY_DELAY = Span.ofMillis(500);
 
+    /** A contact whose caller has not acknowledged the answer for this long is released both ways. */
+    private static final Span ACK_TIMEOUT = Span.ofMillis(4000);
+
+    private static final Span ACK_RECHECK_DELAY = Span.ofMillis(1000);
+
     private final TimerWheel wheel;
     private final ContactSettings settings;
     private final OutboundMessages outbound;
@@ -56,6 +61,7 @@
 
     private final ArrayDeque<Consumer<Controller>> pendingNotifications = new ArrayDeque<>();
     private final ContactCounters counters = new ContactCounters();
+    private final ModuleTimers moduleTimers;
     private Controller controller;
     private boolean isNotifying;
     private boolean isRefusingNewContacts;
@@ -67,6 +73,8 @@
         this.wheel = wheel;
         this.settings = settings;
         this.outbound = outbound;
+        moduleTimers = new ModuleTimers(
+                wheel, token -> notifyController(controller -> controller.timerExpired(wheel.now(), token)));
         releaseSender = new ReleaseSender(wheel, outbound, counters);
         endReconciliation = new EndReconciliation(wheel, outbound, releaseSender, counters);
         establishedContacts = new EstablishedContacts(outbound, releaseSender, this::establishedContactEnded);
@@ -104,6 +112,11 @@
         return establishedContacts.hasContactsAt(switchId);
     }
 
+    /** The number of established contacts whose caller has not acknowledged the answer. */
+    public int unacknowledgedCount() {
+        return establishedContacts.unacknowledgedCount();
+    }
+
     /**
      * The number of established contacts of whose process no connection is left; each is logged once.
      *
@@ -365,6 +378,7 @@
         closeSetUp(contact);
         establishedContacts.add(contact, connectionNumber);
         counters.established++;
+        wheel.scheduleCoarse(ACK_TIMEOUT, () -> acknowledgementDue(contact));
         boolean delivered = outbound.sendAnswer(
                 contact.callerConnectionId,
                 contact.tag,
@@ -375,6 +389,13 @@
         }
     }
 
+    /** After a stall the ACK may wait in the inbox, so it is looked for once more behind what has come by then. */
+    private void acknowledgementDue(TrackedContact contact) {
+        if (!contact.isAcknowledged) {
+            wheel.scheduleCoarse(ACK_RECHECK_DELAY, () -> establishedContacts.acknowledgementMissing(contact));
+        }
+    }
+
     /** A switch has sent a FINISH: it rejects a ring or releases an established contact. An empty report means none. */
     public void ended(long switchId, long switchConnectionId, String tag, int q850Cause, String note, float[] report) {
         TrackedContact contact = contactsByTag.get(tag);
@@ -701,7 +722,12 @@
 
     @Override
     public void startTimer(Span delay, long token) {
-        wheel.scheduleAfter(delay, () -> notifyController(controller -> controller.timerExpired(wheel.now(), token)));
+        moduleTimers.start(delay, token);
+    }
+
+    @Override
+    public void cancelTimers(long token) {
+        moduleTimers.cancel(token);
     }
 
     @Override
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -99,6 +99,28 @@
         }
     }
 
+    /** The number of contacts whose 200 response has not been acknowledged. */
+    int unacknowledgedCount() {
+        return (int) contactsByTag.values().stream()
+                .filter(contact -> !contact.isAcknowledged)
+                .count();
+    }
+
+    /**
+     * Ends a contact whose caller has left the 200 response without its ACK, though the connection is open: nobody else
+     * would release it, and its circuits would stay taken (RFC 3261, section 13.3.1.4).
+     */
+    void acknowledgementMissing(TrackedContact contact) {
+        if (contact.isAcknowledged || contactsByTag.get(contact.tag) != contact) {
+            return;
+        }
+        outbound.log("no-ack", describe(contact) + "; its caller has not acknowledged the answer");
+        sendFinish(contact);
+        releaseSender.releaseOnConnection(
+                contact.tag, contact.calledNumber, EndCause.TEMPORARY_FAILURE, contact.callerConnectionId);
+        contactEnded(contact, RingEndCause.CALLED_OFF, NO_REPORT);
+    }
+
     /** The caller has acknowledged the 200 response. */
     void acknowledged(String tag) {
         TrackedContact contact = contactsByTag.get(tag);
--- a/src/main/java/martenslip/platform/contact/ReleaseSender.java
+++ b/src/main/java/martenslip/platform/contact/ReleaseSender.java
@@ -44,14 +44,24 @@
 
         final Moment endedAt;
         final Runnable onAcknowledged;
+        /** Whether it is sent on another connection only once its own has ended. */
+        final boolean staysOnConnection;
+
         int transmissions;
 
-        PendingRelease(String tag, byte[] message, long connectionId, Moment endedAt, Runnable onAcknowledged) {
+        PendingRelease(
+                String tag,
+                byte[] message,
+                long connectionId,
+                Moment endedAt,
+                Runnable onAcknowledged,
+                boolean staysOnConnection) {
             this.tag = tag;
             this.message = message;
             this.connectionId = connectionId;
             this.endedAt = endedAt;
             this.onAcknowledged = onAcknowledged;
+            this.staysOnConnection = staysOnConnection;
         }
 
         Span retransmitInterval() {
@@ -100,13 +110,36 @@
      * the first case only.
      */
     void release(String tag, String calledNumber, int q850Cause, long connectionId, Runnable onAcknowledged) {
+        add(tag, calledNumber, q850Cause, connectionId, onAcknowledged, false);
+    }
+
+    /**
+     * Sends a release as {@link #release}, on other connections only once its own has ended: what a caller leaves without
+     * answer there is no reason to ask all others.
+     */
+    void releaseOnConnection(String tag, String calledNumber, int q850Cause, long connectionId) {
+        add(tag, calledNumber, q850Cause, connectionId, () -> {}, true);
+    }
+
+    private void add(
+            String tag,
+            String calledNumber,
+            int q850Cause,
+            long connectionId,
+            Runnable onAcknowledged,
+            boolean staysOnConnection) {
         if (pendingByTag.size() >= MAX_PENDING_RELEASES) {
             PendingRelease oldest = pendingByTag.values().iterator().next();
             outbound.log("releases", "too many unacknowledged releases; dropping the oldest: " + describe(oldest));
             giveUp(oldest);
         }
         PendingRelease pending = new PendingRelease(
-                tag, CallerMessages.release(tag, calledNumber, q850Cause), connectionId, wheel.now(), onAcknowledged);
+                tag,
+                CallerMessages.release(tag, calledNumber, q850Cause),
+                connectionId,
+                wheel.now(),
+                onAcknowledged,
+                staysOnConnection);
         pendingByTag.put(tag, pending);
         counters.releases++;
         transmitUntilAcknowledged(pending);
@@ -149,11 +182,12 @@
     }
 
     /**
-     * The first transmission tries the connection of the set-up; all others, and a first one that fails, take another
-     * connection: one that was not tried yet, or, once all were tried, any.
+     * The first transmission tries the connection of the set-up; all others, unless they stay there, and one that fails,
+     * take another connection: one that was not tried yet, or, once all were tried, any.
      */
     private void transmit(PendingRelease pending) {
-        if (pending.transmissions == 0 && outbound.sendToCaller(pending.connectionId, pending.message)) {
+        if ((pending.transmissions == 0 || pending.staysOnConnection)
+                && outbound.sendToCaller(pending.connectionId, pending.message)) {
             transmitted(pending, pending.connectionId);
             return;
         }
--- a/src/main/java/martenslip/sip/transport/BufferedStreamFramer.java
+++ b/src/main/java/martenslip/sip/transport/BufferedStreamFramer.java
@@ -12,11 +12,13 @@
     /** Number of valid bytes in {@link #buffer}. */
     protected int length;
 
+    private final int initialCapacity;
     private final int maxCapacity;
 
     /** Creates the buffer; both capacities are in bytes. */
     protected BufferedStreamFramer(int initialCapacity, int maxCapacity) {
         buffer = new byte[initialCapacity];
+        this.initialCapacity = initialCapacity;
         this.maxCapacity = maxCapacity;
     }
 
@@ -43,6 +45,28 @@
         return length > 0;
     }
 
+    @Override
+    public final boolean needsLargeBuffer() {
+        return length == buffer.length && buffer.length == initialCapacity && initialCapacity < maxCapacity;
+    }
+
+    @Override
+    public final boolean hasLargeBuffer() {
+        return buffer.length > initialCapacity;
+    }
+
+    @Override
+    public final int maxBufferBytes() {
+        return maxCapacity;
+    }
+
+    @Override
+    public final void shrinkBuffer() {
+        if (hasLargeBuffer() && length <= initialCapacity) {
+            buffer = Arrays.copyOf(buffer, initialCapacity);
+        }
+    }
+
     /** Removes this many bytes from the front. */
     protected final void discard(int bytes) {
         length -= bytes;
--- a/src/main/java/martenslip/sip/transport/Connection.java
+++ b/src/main/java/martenslip/sip/transport/Connection.java
@@ -37,7 +37,8 @@
 
     private static final int STACK_SIZE_BYTES = 256 * 1024;
 
-    private static final int MAX_READ_AHEAD_BYTES = 128 * 1024;
+    /** What a message occupies while it is handed on, over its length: its bytes and their parsed form. */
+    private static final int HAND_OVER_COPIES = 4;
     /** How long the end of a connection is waited for behind a burst. */
     private static final int END_CHECK_TIMEOUT_MS = 1;
 
@@ -70,6 +71,12 @@
 
     private int socketTimeoutMs;
 
+    // Used by the reading thread only.
+    private int reservedBufferBytes;
+    private boolean isReadingAhead;
+    /** The peer sends more than is read ahead, so an end of the connection is not to be found close behind its bursts. */
+    private boolean isStreaming;
+
     Connection(
             long id,
             Socket socket,
@@ -443,42 +450,8 @@
     }
 
     private void readUntilClosed() {
-        long messageStartNanos = 0;
-        readStartNanos = System.nanoTime();
         try {
-            InputStream input = socket.getInputStream();
-            while (true) {
-                updateSocketTimeout(messageStartNanos);
-                int bytesRead;
-                try {
-                    bytesRead = read(input);
-                } catch (SocketTimeoutException e) {
-                    if (closeAfterReadTimeout()) {
-                        return;
-                    }
-                    continue;
-                }
-                if (bytesRead < 0) {
-                    close(framer.hasPartialMessage() ? "ended amid a message" : "ended by the peer");
-                    return;
-                }
-                lastReadNanos = System.nanoTime();
-                messageStartNanos = framer.hasPartialMessage() ? messageStartNanos : System.nanoTime();
-                boolean isBurst = accepted && threadPool != null && fillsBuffer(bytesRead);
-                framer.advance(bytesRead);
-                List<byte[]> messages = nextMessages();
-                StreamFramer.FramingException fault =
-                        isBurst && !messages.isEmpty() ? readAhead(input, messages) : null;
-                for (byte[] message : messages) {
-                    listener.messageReceived(this, message);
-                    messageStartNanos = System.nanoTime();
-                    hasReceivedMessage = true;
-                }
-                if (fault != null) {
-                    throw fault;
-                }
-                handlingInput = false;
-            }
+            readMessages(socket.getInputStream());
         } catch (IOException | StreamFramer.FramingException e) {
             close(String.valueOf(e.getMessage()));
         } catch (InterruptedException e) {
@@ -486,6 +459,94 @@
         } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
             // A fault with one message ends this connection only. Open without a reader, it would swallow what comes.
             close("fault: " + e);
+        } finally {
+            limits.readBudget().releaseBuffer(reservedBufferBytes);
+        }
+    }
+
+    private void readMessages(InputStream input)
+            throws IOException, StreamFramer.FramingException, InterruptedException {
+        long messageStartNanos = 0;
+        readStartNanos = System.nanoTime();
+        while (true) {
+            if (framer.needsLargeBuffer() && !reserveLargeBuffer(messageStartNanos)) {
+                close("no memory for a large message");
+                return;
+            }
+            updateSocketTimeout(messageStartNanos);
+            int bytesRead;
+            try {
+                bytesRead = read(input);
+            } catch (SocketTimeoutException e) {
+                if (closeAfterReadTimeout()) {
+                    return;
+                }
+                continue;
+            }
+            if (bytesRead < 0) {
+                close(framer.hasPartialMessage() ? "ended amid a message" : "ended by the peer");
+                return;
+            }
+            lastReadNanos = System.nanoTime();
+            messageStartNanos = framer.hasPartialMessage() ? messageStartNanos : lastReadNanos;
+            boolean isBurst = accepted && threadPool != null && fillsBuffer(bytesRead);
+            framer.advance(bytesRead);
+            if (handOn(input, isBurst)) {
+                messageStartNanos = System.nanoTime();
+            }
+            handlingInput = false;
+        }
+    }
+
+    /** Reserves a buffer of full size, as one that grew step by step could wait for others that do the same. */
+    private boolean reserveLargeBuffer(long messageStartNanos) throws InterruptedException {
+        int bytes = framer.maxBufferBytes();
+        if (reservedBufferBytes == 0) {
+            long remainingNanos = limits.messageTimeout().ns() - (System.nanoTime() - messageStartNanos);
+            if (!limits.readBudget().reserveBuffer(bytes, remainingNanos)) {
+                return false;
+            }
+            reservedBufferBytes = bytes;
+        }
+        return true;
+    }
+
+    /** Hands on the whole messages of what was read; returns whether there were any. */
+    private boolean handOn(InputStream input, boolean isBurst)
+            throws IOException, StreamFramer.FramingException, InterruptedException {
+        ReadBudget budget = limits.readBudget();
+        int takenBytes = framer.hasLargeBuffer() ? budget.beginHandOver(HAND_OVER_COPIES * framer.position()) : 0;
+        try {
+            List<byte[]> messages = nextMessages();
+            StreamFramer.FramingException fault = isBurst && !messages.isEmpty() ? readAhead(input, messages) : null;
+            isStreaming &= isBurst;
+            releaseUnneededBuffer();
+            for (byte[] message : messages) {
+                listener.messageReceived(this, message);
+                hasReceivedMessage = true;
+            }
+            if (fault != null) {
+                throw fault;
+            }
+            return !messages.isEmpty();
+        } finally {
+            budget.endHandOver(takenBytes);
+            endReadAhead();
+        }
+    }
+
+    private void releaseUnneededBuffer() {
+        framer.shrinkBuffer();
+        if (!framer.hasLargeBuffer()) {
+            limits.readBudget().releaseBuffer(reservedBufferBytes);
+            reservedBufferBytes = 0;
+        }
+    }
+
+    private void endReadAhead() {
+        if (isReadingAhead) {
+            isReadingAhead = false;
+            limits.readBudget().endReadAhead();
         }
     }
 
@@ -517,15 +578,18 @@
     /**
      * Reads the rest of a burst before any of it is handed on, to see whether its peer has closed the connection behind
      * it: the messages then count as read from a connection that has ended. Bounded in bytes and in connections; a burst
-     * beyond that is handed on in parts. Returns the fault of a part that is malformed, whose messages are dropped, or null.
+     * beyond that is handed on in parts, and a peer whose stream does not pause has no further burst read ahead. Returns
+     * the fault of a part that is malformed, whose messages are dropped, or null. {@link #endReadAhead} must follow once
+     * the messages have been handed on.
      */
     private StreamFramer.FramingException readAhead(InputStream input, List<byte[]> messages) throws IOException {
-        if (!threadPool.beginReadAhead()) {
+        if (isStreaming || !limits.readBudget().beginReadAhead()) {
             return null;
         }
+        isReadingAhead = true;
         try {
-            for (int total = 0; total < MAX_READ_AHEAD_BYTES; ) {
-                int bytesRead = readAvailable(input);
+            for (int total = 0; total < ReadBudget.MAX_READ_AHEAD_BYTES; ) {
+                int bytesRead = mayReadOn() ? readAvailable(input) : 0;
                 if (bytesRead == 0) {
                     return null;
                 }
@@ -538,14 +602,25 @@
                 framer.advance(bytesRead);
                 messages.addAll(nextMessages());
             }
+            isStreaming = true;
             return null;
         } catch (StreamFramer.FramingException e) {
             return e;
-        } finally {
-            threadPool.endReadAhead();
         }
     }
 
+    /** Whether the buffer has room, or a large one could be had at once. */
+    private boolean mayReadOn() {
+        if (framer.needsLargeBuffer() && reservedBufferBytes == 0) {
+            int bytes = framer.maxBufferBytes();
+            if (!limits.readBudget().tryReserveBuffer(bytes)) {
+                return false;
+            }
+            reservedBufferBytes = bytes;
+        }
+        return true;
+    }
+
     /** Reads what is there; returns 0 if nothing comes for a moment, and -1 if the peer has closed the connection. */
     private int readAvailable(InputStream input) throws IOException {
         byte[] buffer = framer.buffer();
--- a/src/main/java/martenslip/sip/transport/ConnectionThreadPool.java
+++ b/src/main/java/martenslip/sip/transport/ConnectionThreadPool.java
@@ -1,7 +1,6 @@
 package martenslip.sip.transport;
 
 import java.util.ArrayDeque;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -19,14 +18,11 @@
     private static final long IDLE_THREAD_TIMEOUT_MS = 2000;
     /** Exceeds the number of descriptors that any process here may hold. */
     private static final int MAX_READERS = 1024;
-    /** Bounds the memory that is read ahead. */
-    private static final int MAX_READ_AHEADS = 8;
 
     private final String name;
     private final int maxWriters;
     private final ArrayDeque<Runnable> pendingWrites = new ArrayDeque<>();
     private final ThreadPoolExecutor readers;
-    private final Semaphore readAheads = new Semaphore(MAX_READ_AHEADS);
     private int writerCount;
     private int idleWriters;
 
@@ -50,15 +46,6 @@
         readers.execute(task);
     }
 
-    /** Whether one more connection may read ahead of what it hands on; if so, {@link #endReadAhead} must follow. */
-    boolean beginReadAhead() {
-        return readAheads.tryAcquire();
-    }
-
-    void endReadAhead() {
-        readAheads.release();
-    }
-
     /** Queues a write; starts another writing thread if none is idle and the limit allows it. */
     synchronized void submitWrite(Runnable task) {
         pendingWrites.add(task);
--- a/src/main/java/martenslip/sip/transport/StreamFramer.java
+++ b/src/main/java/martenslip/sip/transport/StreamFramer.java
@@ -26,4 +26,16 @@
 
     /** The next whole message, or null if more bytes are needed. */
     byte[] nextMessage() throws FramingException;
+
+    /** True if the initial buffer is full, so that {@link #buffer} is going to allocate a larger one. */
+    boolean needsLargeBuffer();
+
+    /** True while the buffer is larger than the initial one. */
+    boolean hasLargeBuffer();
+
+    /** The size of the largest buffer. */
+    int maxBufferBytes();
+
+    /** Returns to a buffer of the initial size if what it holds fits. */
+    void shrinkBuffer();
 }
--- a/src/main/java/martenslip/sip/transport/TransportLimits.java
+++ b/src/main/java/martenslip/sip/transport/TransportLimits.java
@@ -7,7 +7,8 @@
  * delivers no whole message within {@code firstMessageTimeout} of its start, delivers nothing for {@code idleTimeout},
  * needs longer than {@code messageTimeout} for one message from its first byte, or if its peer leaves more than
  * {@code maxUnsentBytes} unread or reads nothing for {@code writeStallTimeout}. {@code connectTimeout} bounds the
- * establishment of an outgoing connection. {@code unsentBudget} bounds the unsent bytes of all connections that share it.
+ * establishment of an outgoing connection. {@code unsentBudget} bounds the unsent bytes of all connections that share it,
+ * {@code readBudget} what they have read and not handed on.
  */
 public record TransportLimits(
         int maxConnections,
@@ -17,7 +18,8 @@
         int maxUnsentBytes,
         Span writeStallTimeout,
         Span connectTimeout,
-        UnsentBudget unsentBudget) {
+        UnsentBudget unsentBudget,
+        ReadBudget readBudget) {
     /**
      * A neighbour exchange needs one or two connections; an idle timeout of ten minutes makes keep-alives unnecessary.
      */
@@ -59,6 +61,7 @@
                 maxUnsentBytes,
                 writeStallTimeout,
                 connectTimeout,
-                UnsentBudget.UNLIMITED);
+                UnsentBudget.UNLIMITED,
+                ReadBudget.UNLIMITED);
     }
 }
--- a/src/test/java/martenslip/RoutingPolicyTest.java
+++ b/src/test/java/martenslip/RoutingPolicyTest.java
@@ -470,4 +470,17 @@
                 new Contact(4, ExchangeFixture.CHEAP, 79, 1, -1, 1, Span.ofMillis(500), false, false, false));
         assertEquals(List.copyOf(exchange.policy.contactManager.firstTryByNumber.keySet()), List.of(78L, 79L));
     }
+
+    /** Guards against a table that grows with the rate of numbers called (review/6). */
+    @Test
+    public void theFirstTriesThatAreRememberedAreBounded() {
+        ExchangeFixture exchange = new ExchangeFixture().ready(0, 40);
+        for (int i = 1; i <= RoutingPolicy.MAX_FIRST_TRIES + 100; i++) {
+            exchange.policy.contactOffered(
+                    at(1), new Contact(i, CHEAP, i, 1, -1, 1, Span.ofMillis(3000), false, true, false));
+            exchange.policy.contactOffered(
+                    at(1), new Contact(-i, CHEAP, i, 1, -1, 1, Span.ofMillis(3000), false, false, false));
+        }
+        assertEquals(exchange.policy.contactManager.firstTryByNumber.size(), RoutingPolicy.MAX_FIRST_TRIES);
+    }
 }
--- a/src/test/java/martenslip/platform/HostileCallersTest.java
+++ b/src/test/java/martenslip/platform/HostileCallersTest.java
@@ -7,8 +7,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -41,6 +43,12 @@
     private static final int MAX_MESSAGE_BYTES = 16 * 1024;
     private static final int PHASE_MS = Integer.getInteger("martenslip.hostile.phase-ms", 1500);
     private static final int LOG_LINES = 40;
+    /** Long enough to fill the heap, and for calls without an ACK to be released. */
+    private static final int FLOOD_MS = 8000;
+
+    private static final int CALM_MS = 500;
+    /** How long after the end of a flood usual callers are to be served as before. */
+    private static final int SETTLE_MS = 2000;
 
     /** What the hostile callers do. */
     private enum Picture {
@@ -56,9 +64,19 @@
         UNSOUND_SET_UPS,
         NAMINGS_AT_UNKNOWN_SWITCHES,
         NAMINGS_AT_A_KNOWN_SWITCH,
-        ALL_AT_ONCE
+        ALL_AT_ONCE,
+        SET_UPS_ON_MANY_CONNECTIONS,
+        LARGE_SET_UPS_ON_MANY_CONNECTIONS;
+
+        /** Whether the callers send set-ups at full speed on hundreds of connections. */
+        boolean isFlood() {
+            return this == SET_UPS_ON_MANY_CONNECTIONS || this == LARGE_SET_UPS_ON_MANY_CONNECTIONS;
+        }
     }
 
+    private List<SwitchStandIn> switches;
+    private final List<Socket> hostileSockets = new CopyOnWriteArrayList<>();
+
     private PlatformStandIn platform;
     private ControllerProcess process;
     private Deque<String> lastLogLines;
@@ -67,7 +85,7 @@
     @BeforeMethod
     public void startProcess() throws Exception {
         platform = new PlatformStandIn();
-        List<SwitchStandIn> switches = platform.startSwitches(3);
+        switches = platform.startSwitches(3);
         PlatformStandIn.JournalStandIn journal = platform.new JournalStandIn();
         for (SwitchStandIn switchStandIn : switches) {
             switchStandIn.circuits = 400;
@@ -169,6 +187,7 @@
         public void run() {
             while (!isStopped.get()) {
                 try (Socket socket = new Socket()) {
+                    hostileSockets.add(socket);
                     socket.connect(process.listenAddress(), 2000);
                     if (picture != Picture.ANSWERS_LEFT_UNREAD) {
                         drainInput(socket);
@@ -205,7 +224,9 @@
                             socket,
                             setUp(nextCallId(), "dest:1", MAX_MESSAGE_BYTES).substring(0, 8000));
                 case BYTE_BY_BYTE -> dribble(socket, setUp(nextCallId(), "dest:1", MAX_MESSAGE_BYTES));
-                case LARGE_SET_UPS -> flood(socket, 1, () -> setUp(nextCallId(), "dest:1", MAX_MESSAGE_BYTES - 64));
+                case SET_UPS_ON_MANY_CONNECTIONS -> flood(socket, 20, () -> setUp(nextCallId(), "dest:1", 300));
+                case LARGE_SET_UPS, LARGE_SET_UPS_ON_MANY_CONNECTIONS ->
+                    flood(socket, 1, () -> setUp(nextCallId(), "dest:1", MAX_MESSAGE_BYTES - 64));
                 case HEADS_OF_MANY_VALUES -> flood(socket, 1, this::setUpWithManyValues);
                 case LARGE_RELEASES ->
                     flood(
@@ -285,7 +306,11 @@
     private void startHostileCallers(Picture picture, AtomicBoolean isStopped, AtomicLong messages) {
         int connections = switch (picture) {
             case NOTHING, ALL_AT_ONCE -> 0;
-            case HEADS_OF_SHORT_FIELDS, HALF_MESSAGES, BYTE_BY_BYTE -> HOSTILE_CONNECTIONS;
+            case HEADS_OF_SHORT_FIELDS,
+                    HALF_MESSAGES,
+                    BYTE_BY_BYTE,
+                    SET_UPS_ON_MANY_CONNECTIONS,
+                    LARGE_SET_UPS_ON_MANY_CONNECTIONS -> HOSTILE_CONNECTIONS;
             case LARGE_SET_UPS, HEADS_OF_MANY_VALUES, LARGE_RELEASES, ANSWERS_LEFT_UNREAD -> FAST_CONNECTIONS;
             default -> 1;
         };
@@ -298,11 +323,71 @@
     public Object[][] pictures() {
         List<Object[]> rows = new ArrayList<>();
         for (Picture picture : Picture.values()) {
-            rows.add(new Object[] {picture});
+            if (!picture.isFlood()) {
+                rows.add(new Object[] {picture});
+            }
         }
         return rows.toArray(Object[][]::new);
     }
 
+    @DataProvider
+    public Object[][] floods() {
+        return Arrays.stream(Picture.values())
+                .filter(Picture::isFlood)
+                .map(picture -> new Object[] {picture})
+                .toArray(Object[][]::new);
+    }
+
+    private static int servedBy(List<UsualCaller> callers) {
+        return callers.stream().mapToInt(caller -> caller.served.get()).sum();
+    }
+
+    /**
+     * Guards against review/6: what was read of a flood filled the heap, nobody was answered, and the calls that the flood
+     * left without an ACK kept usual callers from being served for as long as it lasted and after it.
+     */
+    @Test(dataProvider = "floods", timeOut = 120_000)
+    public void usualCallersAreServedDuringAndAfterAFlood(Picture picture) throws Exception {
+        switches.forEach(standIn -> standIn.reportsHeldCircuits = true);
+        AtomicBoolean isOver = new AtomicBoolean();
+        AtomicBoolean isFloodOver = new AtomicBoolean();
+        AtomicLong worstMs = new AtomicLong();
+        AtomicLong messages = new AtomicLong();
+        List<UsualCaller> callers = new ArrayList<>();
+        for (int i = 0; i < USUAL_CALLERS; i++) {
+            callers.add(new UsualCaller(isOver, worstMs));
+        }
+        Thread.sleep(CALM_MS);
+        int servedBefore = servedBy(callers);
+        startHostileCallers(picture, isFloodOver, messages);
+        Thread.sleep(FLOOD_MS);
+        isFloodOver.set(true);
+        for (Socket socket : hostileSockets) {
+            socket.close();
+        }
+        int servedAtEnd = servedBy(callers);
+        Thread.sleep(SETTLE_MS);
+        int servedSettled = servedBy(callers);
+        Thread.sleep(CALM_MS);
+        int servedAfter = servedBy(callers) - servedSettled;
+        isOver.set(true);
+        List<String> lost = new ArrayList<>();
+        for (UsualCaller caller : callers) {
+            caller.join(LOST_AFTER_MS * 2);
+            lost.addAll(caller.lost);
+        }
+        long peakMb = process.isAlive() ? process.peakMemoryMb() : -1;
+        System.out.println("hostile callers: " + picture + ": served " + servedBefore + " before, "
+                + (servedAtEnd - servedBefore) + " during, " + servedAfter + " after, worst " + worstMs + " ms, peak "
+                + peakMb + " MB, hostile writes " + messages);
+        lastLogLines.stream().filter(line -> line.contains(" counts: ")).forEach(System.out::println);
+        assertTrue(process.isAlive(), "the process has ended: " + lastLogLines);
+        assertEquals(lost, List.of(), "usual callers' losses; " + lastLogLines);
+        assertTrue(peakMb < MEMORY_LIMIT_MB, "peak memory " + peakMb + " MB");
+        assertTrue(servedAtEnd - servedBefore > servedBefore, "served during the flood");
+        assertTrue(servedAfter > servedBefore / 2, "served after the flood");
+    }
+
     @Test(dataProvider = "pictures", timeOut = 120_000)
     public void usualCallersAreServedAndMemoryIsBounded(Picture picture) throws Exception {
         AtomicBoolean isStopped = new AtomicBoolean();
@@ -315,6 +400,9 @@
         Thread.sleep(500);
         if (picture == Picture.ALL_AT_ONCE) {
             for (Picture part : Picture.values()) {
+                if (part.isFlood()) {
+                    continue;
+                }
                 startHostileCallers(part, isStopped, messages);
             }
         } else {
--- a/src/test/java/martenslip/platform/InboxQuotaTest.java
+++ b/src/test/java/martenslip/platform/InboxQuotaTest.java
@@ -70,4 +70,34 @@
         quota.close();
         assertTrue(acquired.await(5, TimeUnit.SECONDS));
     }
+
+    /** Guards against a usual caller that loses the race for each room that a flood of others waits for (review/6). */
+    @Test(timeOut = 20_000)
+    public void thoseThatWaitAreAdmittedInTheirOrder() throws Exception {
+        InboxQuota quota = new InboxQuota();
+        quota.acquire(CONNECTION, InboxQuota.MAX_BYTES);
+        CountDownLatch large = acquireInThread(quota, OTHER_CONNECTION, InboxQuota.MAX_BYTES);
+        while (quota.waitingCount() < 1) {
+            Thread.onSpinWait();
+        }
+        CountDownLatch small = acquireInThread(quota, CONNECTION, 1);
+        while (quota.waitingCount() < 2) {
+            Thread.onSpinWait();
+        }
+        quota.release(CONNECTION, InboxQuota.MAX_BYTES);
+        assertTrue(large.await(5, TimeUnit.SECONDS));
+        assertFalse(small.await(QUIET_MS, TimeUnit.MILLISECONDS));
+        quota.release(OTHER_CONNECTION, InboxQuota.MAX_BYTES);
+        assertTrue(small.await(5, TimeUnit.SECONDS));
+    }
+
+    @Test(timeOut = 20_000)
+    public void aLimitedWaitEndsWithoutRoomAndLetsThoseBehindGo() throws Exception {
+        InboxQuota quota = new InboxQuota();
+        quota.acquire(CONNECTION, InboxQuota.MAX_BYTES - 1);
+        assertFalse(quota.tryAcquire(OTHER_CONNECTION, 2, TimeUnit.MILLISECONDS.toNanos(QUIET_MS)));
+        assertEquals(quota.waitingCount(), 0);
+        quota.acquire(OTHER_CONNECTION, 1);
+        assertEquals(quota.usedBytes(), InboxQuota.MAX_BYTES);
+    }
 }
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -101,6 +101,10 @@
         volatile long owedLinesDelayMs;
         /** The circuits of the group, all of them reported as free. */
         volatile int circuits = USUAL_CIRCUITS;
+        /** Whether the reports tell of the calls that stand; otherwise all circuits are reported as free. */
+        volatile boolean reportsHeldCircuits;
+        /** The calls that {@link #serveAll} has answered and that were not released. */
+        final Set<String> standingTags = ConcurrentHashMap.newKeySet();
         /** Whether a test (ECHO) is answered, also on mute connections. */
         volatile boolean answersTests;
         /** Connections on which no state is reported any more, while what comes on them is read. */
@@ -171,8 +175,8 @@
         }
 
         private byte[] loadLine() {
-            return ("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:" + circuits + ";x1:" + circuits
-                            + "\"}}\n")
+            int free = reportsHeldCircuits ? Math.max(0, circuits - standingTags.size()) : circuits;
+            return ("{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{\"load\":\"x0:" + free + ";x1:" + circuits + "\"}}\n")
                     .getBytes(StandardCharsets.UTF_8);
         }
 
@@ -204,9 +208,13 @@
                     if (servedNsByTag.putIfAbsent(message.tag(), System.nanoTime()) != null) {
                         repeatedTags.add(message.tag());
                     }
+                    standingTags.add(message.tag());
                     message.started("m=audio");
                 }
-                case "FINISH" -> message.reply("{\"verb\":\"FINISHED\",\"tag\":\"" + message.tag() + "\",\"opts\":{}}");
+                case "FINISH" -> {
+                    standingTags.remove(message.tag());
+                    message.reply("{\"verb\":\"FINISHED\",\"tag\":\"" + message.tag() + "\",\"opts\":{}}");
+                }
                 default -> {}
             }
         }
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -95,7 +95,7 @@
                     }
 
                     @Override
-                    public void releaseAcknowledged(String tag) throws InterruptedException {
+                    public void releaseAcknowledged(long connectionId, String tag) throws InterruptedException {
                         acknowledgementReached.countDown();
                         // Blocks the reading thread, as the decision thread does when it has no room.
                         acknowledgementsReleased.await();
--- a/src/test/java/martenslip/platform/caller/ConnectionActivityTest.java
+++ b/src/test/java/martenslip/platform/caller/ConnectionActivityTest.java
@@ -95,4 +95,22 @@
         }
         assertEquals(activity.unacknowledgedCount(9999 * MS), ConnectionActivity.MAX_UNACKNOWLEDGED);
     }
+
+    /** Guards against callers that leave their answers without ACK and get ever more calls (review/6). */
+    @Test
+    public void anAckIsOverdueForALimitedTimeOrUntilItComes() {
+        ConnectionActivity activity = new ConnectionActivity(0);
+        activity.addSetUp();
+        activity.answerQueued(callId, 100 * MS);
+        activity.finalResponseWritten(callId, 100 * MS);
+        assertFalse(activity.hasOverdueAck(2100 * MS));
+        assertTrue(activity.hasOverdueAck(2101 * MS));
+        assertFalse(activity.hasOverdueAck(10_101 * MS));
+
+        activity.addSetUp();
+        activity.answerQueued(callId, 20_000 * MS);
+        activity.finalResponseWritten(callId, 20_000 * MS);
+        activity.acknowledged(callId);
+        assertFalse(activity.hasOverdueAck(23_000 * MS));
+    }
 }
--- a/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
+++ b/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
@@ -125,7 +125,7 @@
         }
 
         @Override
-        public void releaseAcknowledged(String tag) {
+        public void releaseAcknowledged(long connectionId, String tag) {
             ownRequests.add("released " + tag);
         }
 
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -751,4 +751,46 @@
                 contactTable.establishedCount() + contactTable.openCount() + contactTable.unacknowledgedReleaseCount(),
                 0);
     }
+
+    /** Guards against calls that keep their circuits though their caller never acknowledges the answer (review/6). */
+    @Test
+    public void aContactWithoutAckIsReleasedBothWaysOnItsOwnConnection() {
+        offerAndRing();
+        contactTable.started(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), "c=x\r\n");
+        harness.takeSent();
+        harness.takeNotifications();
+        harness.advanceToMs(4100);
+        harness.advanceToMs(4900);
+        assertEquals(harness.takeSent(), List.of());
+        harness.otherCallerConnection = 2;
+        harness.advanceToMs(5300);
+        assertEquals(harness.takeSent(), List.of("log no-ack", "FINISH 7 40 1 16", "1: BYE Q.850;cause=41"));
+        assertEquals(harness.takeNotifications(), List.of("ring ended 1 0 CALLED_OFF NONE true"));
+        harness.advanceToMs(5500);
+        assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=41"));
+        harness.closedConnections.add(1L);
+        harness.advanceToMs(5700);
+        assertEquals(harness.takeSent(), List.of("2: BYE Q.850;cause=41"));
+    }
+
+    @Test
+    public void anAcknowledgedContactStaysStanding() {
+        establish();
+        harness.advanceToMs(60_000);
+        assertEquals(harness.takeSent(), List.of());
+        assertEquals(contactTable.establishedCount(), 1);
+    }
+
+    /** After a stall the timer is handled before the ACK that waits in the inbox. */
+    @Test
+    public void anAckThatWaitedBehindAStallCounts() {
+        offerAndRing();
+        contactTable.started(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), "c=x\r\n");
+        harness.takeSent();
+        harness.advanceToMs(20_000);
+        contactTable.ackReceived(tag(1));
+        harness.advanceToMs(30_000);
+        assertEquals(harness.takeSent(), List.of());
+        assertEquals(contactTable.establishedCount(), 1);
+    }
 }
