--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -443,8 +443,8 @@
         }
 
         @Override
-        public void releaseAcknowledged(long connectionId, String tag) throws InterruptedException {
-            callerInbox.add(connectionId, 0, () -> contactTable.releaseAcknowledged(tag));
+        public void releaseAnswered(long connectionId, String tag, boolean knowsContact) throws InterruptedException {
+            callerInbox.add(connectionId, 0, () -> contactTable.releaseAnswered(connectionId, tag, knowsContact));
         }
 
         @Override
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -61,8 +61,8 @@
         /** A CANCEL, BYE or ACK was received. */
         void requestReceived(long connectionId, Request request) throws InterruptedException;
 
-        /** The caller answered a BYE. */
-        void releaseAcknowledged(long connectionId, String tag) throws InterruptedException;
+        /** The caller answered a BYE: with a 200, or that it does not know the contact. */
+        void releaseAnswered(long connectionId, String tag, boolean knowsContact) throws InterruptedException;
 
         /** The connection has ended, for whatever reason. */
         void connectionEnded(long connectionId) throws InterruptedException;
--- a/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
+++ b/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
@@ -49,7 +49,7 @@
         }
         long connectionId = caller.connection.id();
         if (message instanceof Response response) {
-            caller.hasAnsweredRelease = true;
+            caller.hasAnsweredRelease |= isSuccess(response);
             releaseAnswered(connectionId, response);
             caller.activity.acknowledged(response.callId());
             return;
@@ -128,10 +128,14 @@
 
     private void releaseAnswered(long connectionId, Response response) throws InterruptedException {
         if (response.headers().first("CSeq").endsWith("BYE")) {
-            listener.releaseAcknowledged(connectionId, response.callId());
+            listener.releaseAnswered(connectionId, response.callId(), isSuccess(response));
         }
     }
 
+    private static boolean isSuccess(Response response) {
+        return response.status() >= 200 && response.status() < 300;
+    }
+
     private void handleInvite(CallerConnection caller, Request invite) throws InterruptedException {
         SetUpRequest request;
         CallerCancellation cancellation = new CallerCancellation();
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -19,6 +20,7 @@
 import martenslip.control.Span;
 import martenslip.eventloop.TimerWheel;
 import martenslip.platform.contact.EndedContacts.SettledEnd;
+import martenslip.platform.contact.NamedContacts.NamedContact;
 import martenslip.sip.message.Request;
 import martenslip.sip.transport.QueuedMessage;
 import martenslip.tracking.AnswerDeadline;
@@ -77,7 +79,12 @@
                 wheel, token -> notifyController(controller -> controller.timerExpired(wheel.now(), token)));
         releaseSender = new ReleaseSender(wheel, outbound, counters);
         endReconciliation = new EndReconciliation(wheel, outbound, releaseSender, counters);
-        establishedContacts = new EstablishedContacts(outbound, releaseSender, this::establishedContactEnded);
+        establishedContacts = new EstablishedContacts(
+                wheel,
+                outbound,
+                releaseSender,
+                switchId -> groupSizes.getOrDefault(switchId, 0),
+                this::establishedContactEnded);
     }
 
     /**
@@ -184,7 +191,9 @@
             return;
         }
         // A switch may have run this id for a caller who left; it must not run again.
-        boolean isRepeated = existing != null || endReconciliation.hasEnded(request.tag());
+        boolean isRepeated = existing != null
+                || establishedContacts.isNamed(request.tag())
+                || endReconciliation.hasEnded(request.tag());
         if (isRepeated || isRefusingNewContacts || openContactsById.size() >= settings.maxOpen()) {
             counters.refusedWithoutOffer++;
             counters.repeatedIds += isRepeated ? 1 : 0;
@@ -245,34 +254,33 @@
      */
     public void establishedContactReported(SetUpRequest request, long switchId) {
         outbound.setUpEnded(request.connectionId(), request.tag());
-        if (contactsByTag.containsKey(request.tag()) || endReconciliation.endIsSettledAtNaming(request, switchId)) {
+        if (isKnown(request.tag()) || endReconciliation.endIsSettledAtNaming(request, switchId)) {
             return;
         }
         outbound.log("named", request.tag() + " at " + request.establishedSwitch() + " is taken over");
-        TrackedContact contact = new TrackedContact(++lastContactId, request);
-        contact.isOpen = false;
-        contact.isAcknowledged = true;
-        contact.attempt = new TrackedContact.Attempt(TrackedContact.INHERITED, switchId, null, wheel.now());
-        contactsByTag.put(contact.tag, contact);
         counters.inherited++;
-        TrackedContact givenUp = establishedContacts.addNamed(contact);
+        NamedContact givenUp = establishedContacts.addNamed(
+                new NamedContact(request.tag(), request.calledNumber(), switchId, request.connectionId()));
         if (givenUp != null) {
-            contactsByTag.remove(givenUp.tag);
             counters.namedGivenUp++;
-            outbound.log("named-given-up", givenUp.tag + " gives way; its connection has named most");
+            outbound.log(
+                    "named-given-up",
+                    givenUp.tag() + " gives way; at switch " + givenUp.switchId()
+                            + " more are named than its group holds, most of them on connection "
+                            + givenUp.connectionId());
         }
     }
 
+    private boolean isKnown(String tag) {
+        return contactsByTag.containsKey(tag) || establishedContacts.isNamed(tag);
+    }
+
     /** Releases a contact that is established, according to its caller, at a switch that is not on the list. */
     public void establishedContactReportedAtUnknownSwitch(SetUpRequest request) {
         outbound.setUpEnded(request.connectionId(), request.tag());
-        if (!contactsByTag.containsKey(request.tag())) {
-            releaseSender.release(
-                    request.tag(),
-                    request.calledNumber(),
-                    EndCause.TEMPORARY_FAILURE,
-                    request.connectionId(),
-                    () -> {});
+        if (!isKnown(request.tag())) {
+            releaseSender.releaseUnconfirmed(
+                    request.tag(), request.calledNumber(), EndCause.TEMPORARY_FAILURE, request.connectionId());
         }
     }
 
@@ -308,13 +316,16 @@
     public void byeReceived(long connectionId, Request request) {
         TrackedContact contact = contactsByTag.get(request.callId());
         boolean isOpen = contact != null && contact.isOpen && contact.callerConnectionId == connectionId;
-        boolean isEstablished = contact != null && contact.isEstablished;
+        boolean isNamed = establishedContacts.isNamed(request.callId());
+        boolean isEstablished = isNamed || contact != null && contact.isEstablished;
         outbound.sendToCaller(
                 connectionId,
                 isOpen || isEstablished
                         ? CallerMessages.response(request, 200, "OK")
                         : CallerMessages.response(request, 481, "Call/Transaction Does Not Exist"));
-        if (isEstablished) {
+        if (isNamed) {
+            establishedContacts.namedReleasedByCaller(request.callId());
+        } else if (isEstablished) {
             establishedContacts.releasedByCaller(contact);
         } else if (isOpen) {
             // RFC 3261 section 15.1.2: a pending request of the dialog is still answered.
@@ -329,9 +340,9 @@
         establishedContacts.acknowledged(tag);
     }
 
-    /** The caller has acknowledged a release, or answered that it does not know the contact. */
-    public void releaseAcknowledged(String tag) {
-        releaseSender.acknowledged(tag);
+    /** A caller has acknowledged a release, or answered that it does not know the contact. */
+    public void releaseAnswered(long connectionId, String tag, boolean knowsContact) {
+        releaseSender.answered(connectionId, tag, knowsContact);
     }
 
     /** Ends the open contacts of this connection and those answered on it but not acknowledged. */
@@ -398,6 +409,14 @@
 
     /** A switch has sent a FINISH: it rejects a ring or releases an established contact. An empty report means none. */
     public void ended(long switchId, long switchConnectionId, String tag, int q850Cause, String note, float[] report) {
+        if (establishedContacts.namedReleasedBySwitch(switchId, switchConnectionId, tag, q850Cause, report)) {
+            return;
+        }
+        if (establishedContacts.isNamed(tag)) {
+            // Its caller says that it stands elsewhere.
+            outbound.sendFinished(switchId, switchConnectionId, tag);
+            return;
+        }
         TrackedContact contact = contactsByTag.get(tag);
         if (contact == null) {
             endReconciliation.releaseReceivedForUnknownContact(switchId, switchConnectionId, tag, q850Cause);
@@ -752,6 +771,8 @@
 
     /** For tests: the tags of all contacts in this table. */
     public Collection<String> knownTags() {
-        return List.copyOf(contactsByTag.keySet());
+        List<String> tags = new ArrayList<>(contactsByTag.keySet());
+        tags.addAll(establishedContacts.namedTags());
+        return tags;
     }
 }
--- a/src/main/java/martenslip/platform/contact/EndReconciliation.java
+++ b/src/main/java/martenslip/platform/contact/EndReconciliation.java
@@ -70,6 +70,20 @@
                 tag + " is not known; released by switch " + switchId + " on connection " + switchConnectionId
                         + " with cause " + q850Cause + "; kept until its caller names it");
         endedContacts.releasedBySwitch(tag, new EarlyRelease(switchId, switchConnectionId, q850Cause), now);
+        if (counters.namedGivenUp > 0 && !releaseSender.isPending(tag)) {
+            // Its caller may have named it before, and then waits for nothing but the release.
+            releaseSender.search(
+                    tag, EndCause.toCaller(q850Cause), () -> searchEnded(switchId, switchConnectionId, tag));
+        }
+    }
+
+    private void searchEnded(long switchId, long switchConnectionId, String tag) {
+        EarlyRelease release = endedContacts.claimRelease(tag, wheel.now());
+        if (release != null) {
+            outbound.log("early-release", tag + ": its caller was found among those that had named more than is kept");
+            contactSettled(tag, new SettledEnd(true, release.q850Cause()));
+        }
+        outbound.sendFinished(switchId, switchConnectionId, tag);
     }
 
     /** Keeps a caller's BYE for a contact that is not known here, unless the contact has ended here before. */
--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -1,11 +1,17 @@
 package martenslip.platform.contact;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.LongToIntFunction;
 import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 import martenslip.control.RingEndCause;
+import martenslip.eventloop.TimerWheel;
+import martenslip.platform.contact.NamedContacts.NamedContact;
 
 /**
  * The established contacts. They belong to no connection. One ends by a release of its switch or its caller, with the
@@ -24,27 +30,40 @@
     private final ReleaseSender releaseSender;
     private final EndListener endListener;
     private final Map<String, TrackedContact> contactsByTag = new LinkedHashMap<>();
-    private final NamedContacts namedContacts = new NamedContacts();
+    private final NamedContacts namedContacts;
+    /** The switches without a connection whose named contacts were logged as unconfirmed. */
+    private final Set<Long> loggedSwitches = new HashSet<>();
 
-    EstablishedContacts(OutboundMessages outbound, ReleaseSender releaseSender, EndListener endListener) {
+    private final TimerWheel wheel;
+
+    /** {@code groupSize} gives the circuits of a switch's group, 0 where they are not known. */
+    EstablishedContacts(
+            TimerWheel wheel,
+            OutboundMessages outbound,
+            ReleaseSender releaseSender,
+            LongToIntFunction groupSize,
+            EndListener endListener) {
+        this.wheel = wheel;
+        namedContacts = new NamedContacts(groupSize);
         this.outbound = outbound;
         this.releaseSender = releaseSender;
         this.endListener = endListener;
     }
 
     int count() {
-        return contactsByTag.size();
+        return contactsByTag.size() + namedContacts.count();
     }
 
     /** Whether any contact is established at this switch. */
     boolean hasContactsAt(long switchId) {
-        return contactsByTag.values().stream().anyMatch(contact -> contact.switchId() == switchId);
+        return namedContacts.countAt(switchId) > 0
+                || contactsByTag.values().stream().anyMatch(contact -> contact.switchId() == switchId);
     }
 
     /**
      * Adds a contact that has just been established; its set-up request is no longer kept.
      *
-     * @param connectionNumber of the switch's connection that brought the answer; 0 for an inherited contact
+     * @param connectionNumber of the switch's connection that brought the answer
      */
     void add(TrackedContact contact, long connectionNumber) {
         contact.isEstablished = true;
@@ -64,8 +83,7 @@
         int count = 0;
         for (TrackedContact contact : contactsByTag.values()) {
             long oldestNumber = oldestConnectionNumber.applyAsLong(contact.switchId());
-            boolean isInheritedWithConnection = contact.isInherited() && oldestNumber != Long.MAX_VALUE;
-            if (isInheritedWithConnection || contact.connectionNumber >= oldestNumber) {
+            if (contact.connectionNumber >= oldestNumber) {
                 continue;
             }
             count++;
@@ -74,6 +92,25 @@
                 outbound.log("unconfirmed", describe(contact) + "; no connection of that time is left");
             }
         }
+        return count + countUnconfirmedNamed(oldestConnectionNumber);
+    }
+
+    /** The named contacts of switches to which there is no connection. */
+    private int countUnconfirmedNamed(LongUnaryOperator oldestConnectionNumber) {
+        int count = 0;
+        for (long switchId : namedContacts.switchIds()) {
+            if (oldestConnectionNumber.applyAsLong(switchId) != Long.MAX_VALUE) {
+                loggedSwitches.remove(switchId);
+                continue;
+            }
+            count += namedContacts.countAt(switchId);
+            if (loggedSwitches.add(switchId)) {
+                outbound.log(
+                        "unconfirmed",
+                        namedContacts.countAt(switchId) + " named contacts stand at switch " + switchId
+                                + "; there is no connection to it");
+            }
+        }
         return count;
     }
 
@@ -82,21 +119,45 @@
                 + contact.connectionNumber;
     }
 
-    /**
-     * Adds a contact that its caller has named as established. Returns the named contact that gives way to it, removed and
-     * without a message to anybody, or null.
-     */
-    TrackedContact addNamed(TrackedContact contact) {
-        add(contact, 0);
-        String givenUpTag = namedContacts.add(contact.tag, contact.callerConnectionId);
-        return givenUpTag == null ? null : contactsByTag.remove(givenUpTag);
+    /** Adds a contact that its caller has named as established. Returns the one that gives way to it, or null. */
+    NamedContact addNamed(NamedContact named) {
+        return namedContacts.add(named);
     }
 
-    private void remove(TrackedContact contact) {
-        contactsByTag.remove(contact.tag);
-        if (contact.isInherited()) {
-            namedContacts.remove(contact.tag, contact.callerConnectionId);
+    /** Whether a caller has named a contact of this tag as established. */
+    boolean isNamed(String tag) {
+        return namedContacts.get(tag) != null;
+    }
+
+    /** Ends a named contact by its caller's BYE; returns false if there is none of this tag. */
+    boolean namedReleasedByCaller(String tag) {
+        NamedContact named = namedContacts.remove(tag);
+        if (named == null) {
+            return false;
+        }
+        releasedByCaller(taken(named));
+        return true;
+    }
+
+    /** Ends a named contact by its switch's FINISH; returns false if there is none of this tag at the switch. */
+    boolean namedReleasedBySwitch(long switchId, long switchConnectionId, String tag, int q850Cause, float[] report) {
+        NamedContact named = namedContacts.get(tag);
+        if (named == null || named.switchId() != switchId) {
+            return false;
         }
+        namedContacts.remove(tag);
+        releasedBySwitch(taken(named), switchConnectionId, q850Cause, report);
+        return true;
+    }
+
+    /** A named contact that has left its table to be ended; the module does not know it. */
+    private TrackedContact taken(NamedContact named) {
+        return new TrackedContact(TrackedContact.INHERITED, named, wheel.now());
+    }
+
+    /** The tags of the contacts that their callers have named. */
+    Set<String> namedTags() {
+        return namedContacts.tags();
     }
 
     /** The number of contacts whose 200 response has not been acknowledged. */
@@ -179,7 +240,7 @@
      * @param newSwitchId the switch of the process that has followed; the same one if it was started again
      */
     void switchProcessReplaced(long switchId, long newSwitchId, long firstConnectionNumber) {
-        endWithProcess(switchId, contact -> contact.isInherited() || contact.connectionNumber < firstConnectionNumber);
+        endWithProcess(switchId, contact -> contact.connectionNumber < firstConnectionNumber);
         for (TrackedContact contact : contactsMatching(contact -> contact.switchId() == switchId)) {
             contact.establishedSwitchId = newSwitchId;
             outbound.log("process-kept", describe(contact) + ", at the process that has followed switch " + switchId);
@@ -188,7 +249,8 @@
 
     private void endWithProcess(long switchId, Predicate<TrackedContact> isOver) {
         List<TrackedContact> ended =
-                contactsMatching(contact -> contact.switchId() == switchId && isOver.test(contact));
+                new ArrayList<>(contactsMatching(contact -> contact.switchId() == switchId && isOver.test(contact)));
+        namedContacts.removeAllAt(switchId).forEach(named -> ended.add(taken(named)));
         for (TrackedContact contact : ended) {
             outbound.log("process-over", describe(contact) + "; its process has ended");
             sendRelease(contact, EndCause.TEMPORARY_FAILURE, () -> {});
@@ -219,7 +281,7 @@
     }
 
     private void contactEnded(TrackedContact contact, RingEndCause cause, float[] report) {
-        remove(contact);
+        contactsByTag.remove(contact.tag);
         endListener.contactEnded(contact, cause, report);
     }
 }
--- a/src/main/java/martenslip/platform/contact/ReleaseSender.java
+++ b/src/main/java/martenslip/platform/contact/ReleaseSender.java
@@ -31,7 +31,30 @@
     /** After this many the connections are tried again. */
     private static final int MAX_TRIED_CONNECTIONS = 8;
 
-    private static final int MAX_PENDING_RELEASES = 4096;
+    /** Of contacts that stood by the word of a switch, and of those that only their caller speaks of. */
+    private static final int MAX_CONFIRMED_RELEASES = 4096;
+
+    private static final int MAX_UNCONFIRMED_RELEASES = 1024;
+
+    /** A search sends on this many connections at once, and on the next ones after an interval. */
+    private static final int SEARCH_BATCH = 64;
+
+    private static final Span SEARCH_INTERVAL = Span.ofMillis(50);
+
+    private static final long NO_CONNECTION = 0;
+
+    /** What is known of the caller of a contact. */
+    private enum Owner {
+        /** The contact stood, and its caller is known by its connection. */
+        CONFIRMED,
+        /** The contact stood by its caller's word, or its caller has not acknowledged the answer. */
+        UNCONFIRMED,
+        /** The contact stood, and nothing is known of its caller. */
+        UNKNOWN
+    }
+
+    /** In place of the number called, which only the caller's set-up told. */
+    private static final String UNKNOWN_NUMBER = "0000000000000000";
 
     /** A release that its caller has not acknowledged. */
     private static final class PendingRelease {
@@ -44,6 +67,8 @@
 
         final Moment endedAt;
         final Runnable onAcknowledged;
+        final Owner owner;
+        final long ownConnectionId;
         /** Whether it is sent on another connection only once its own has ended. */
         final boolean staysOnConnection;
 
@@ -55,7 +80,10 @@
                 long connectionId,
                 Moment endedAt,
                 Runnable onAcknowledged,
+                Owner owner,
                 boolean staysOnConnection) {
+            this.owner = owner;
+            ownConnectionId = connectionId;
             this.tag = tag;
             this.message = message;
             this.connectionId = connectionId;
@@ -77,6 +105,10 @@
     private final OutboundMessages outbound;
     private final ContactCounters counters;
     private final Map<String, PendingRelease> pendingByTag = new LinkedHashMap<>();
+    /** The tags of pending releases, the oldest first; a flood of the latter displaces none of the former. */
+    private final Set<String> confirmedTags = new LinkedHashSet<>();
+
+    private final Set<String> unconfirmedTags = new LinkedHashSet<>();
 
     ReleaseSender(TimerWheel wheel, OutboundMessages outbound, ContactCounters counters) {
         this.wheel = wheel;
@@ -88,10 +120,14 @@
         return pendingByTag.size();
     }
 
-    /** The caller has acknowledged the release, or answered that it does not know the contact. */
-    void acknowledged(String tag) {
-        PendingRelease pending = pendingByTag.remove(tag);
-        if (pending != null) {
+    /**
+     * A caller has answered the release. That it does not know the contact counts on the connection of the set-up only:
+     * releases are sent to other callers too.
+     */
+    void answered(long connectionId, String tag, boolean knowsContact) {
+        PendingRelease pending = pendingByTag.get(tag);
+        if (pending != null && (knowsContact || connectionId == pending.ownConnectionId)) {
+            remove(pending);
             counters.releasesAcknowledged++;
             pending.onAcknowledged.run();
             if (pending.transmissions > 1) {
@@ -110,7 +146,20 @@
      * the first case only.
      */
     void release(String tag, String calledNumber, int q850Cause, long connectionId, Runnable onAcknowledged) {
-        add(tag, calledNumber, q850Cause, connectionId, onAcknowledged, false);
+        add(tag, calledNumber, q850Cause, connectionId, onAcknowledged, Owner.CONFIRMED, false);
+    }
+
+    /** Sends a release as {@link #release}, of a contact that only its caller speaks of. */
+    void releaseUnconfirmed(String tag, String calledNumber, int q850Cause, long connectionId) {
+        add(tag, calledNumber, q850Cause, connectionId, () -> {}, Owner.UNCONFIRMED, false);
+    }
+
+    /**
+     * Sends the release of a contact whose caller is not known to all callers, until one acknowledges that it knows the
+     * contact or the lifetime of the release has passed.
+     */
+    void search(String tag, int q850Cause, Runnable onAcknowledged) {
+        add(tag, UNKNOWN_NUMBER, q850Cause, NO_CONNECTION, onAcknowledged, Owner.UNKNOWN, false);
     }
 
     /**
@@ -118,7 +167,7 @@
      * answer there is no reason to ask all others.
      */
     void releaseOnConnection(String tag, String calledNumber, int q850Cause, long connectionId) {
-        add(tag, calledNumber, q850Cause, connectionId, () -> {}, true);
+        add(tag, calledNumber, q850Cause, connectionId, () -> {}, Owner.UNCONFIRMED, true);
     }
 
     private void add(
@@ -127,9 +176,11 @@
             int q850Cause,
             long connectionId,
             Runnable onAcknowledged,
+            Owner owner,
             boolean staysOnConnection) {
-        if (pendingByTag.size() >= MAX_PENDING_RELEASES) {
-            PendingRelease oldest = pendingByTag.values().iterator().next();
+        Set<String> ofItsKind = owner == Owner.UNCONFIRMED ? unconfirmedTags : confirmedTags;
+        if (ofItsKind.size() >= (owner == Owner.UNCONFIRMED ? MAX_UNCONFIRMED_RELEASES : MAX_CONFIRMED_RELEASES)) {
+            PendingRelease oldest = pendingByTag.get(ofItsKind.iterator().next());
             outbound.log("releases", "too many unacknowledged releases; dropping the oldest: " + describe(oldest));
             giveUp(oldest);
         }
@@ -139,8 +190,13 @@
                 connectionId,
                 wheel.now(),
                 onAcknowledged,
+                owner,
                 staysOnConnection);
-        pendingByTag.put(tag, pending);
+        PendingRelease previous = pendingByTag.put(tag, pending);
+        if (previous != null) {
+            tagsOf(previous).remove(tag);
+        }
+        ofItsKind.add(tag);
         counters.releases++;
         transmitUntilAcknowledged(pending);
     }
@@ -151,7 +207,7 @@
      */
     void callerConnectionEnded(long connectionId) {
         for (PendingRelease pending : List.copyOf(pendingByTag.values())) {
-            if (pending.connectionId == connectionId && pending.transmissions > 0) {
+            if (pending.owner != Owner.UNKNOWN && pending.connectionId == connectionId && pending.transmissions > 0) {
                 transmit(pending);
             }
         }
@@ -166,12 +222,43 @@
             giveUp(pending);
             return;
         }
-        transmit(pending);
-        wheel.scheduleAfter(pending.retransmitInterval(), () -> transmitUntilAcknowledged(pending));
+        Span interval = pending.retransmitInterval();
+        if (pending.owner == Owner.UNKNOWN) {
+            interval = transmitToNextCallers(pending);
+        } else {
+            transmit(pending);
+        }
+        wheel.scheduleAfter(interval, () -> transmitUntilAcknowledged(pending));
     }
 
-    private void giveUp(PendingRelease pending) {
+    /** Sends a release to callers that it was not sent to; returns when to go on. */
+    private Span transmitToNextCallers(PendingRelease pending) {
+        for (int i = 0; i < SEARCH_BATCH; i++) {
+            long connectionId = outbound.otherCallerConnection(pending.triedConnectionIds);
+            if (connectionId == NO_CONNECTION || pending.triedConnectionIds.contains(connectionId)) {
+                // All were asked; others may come, and the one that knows the contact may not have read yet.
+                pending.triedConnectionIds.clear();
+                return LATER_RETRANSMIT_INTERVAL;
+            }
+            pending.triedConnectionIds.add(connectionId);
+            if (outbound.sendToCaller(connectionId, pending.message)) {
+                transmitted(pending, connectionId);
+            }
+        }
+        return SEARCH_INTERVAL;
+    }
+
+    private Set<String> tagsOf(PendingRelease pending) {
+        return pending.owner == Owner.UNCONFIRMED ? unconfirmedTags : confirmedTags;
+    }
+
+    private void remove(PendingRelease pending) {
         pendingByTag.remove(pending.tag);
+        tagsOf(pending).remove(pending.tag);
+    }
+
+    private void giveUp(PendingRelease pending) {
+        remove(pending);
         counters.releasesGivenUp++;
     }
 
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -2,6 +2,7 @@
 
 import martenslip.control.Moment;
 import martenslip.eventloop.TimerWheel;
+import martenslip.platform.contact.NamedContacts.NamedContact;
 import martenslip.sip.transport.QueuedMessage;
 
 /**
@@ -73,6 +74,19 @@
         callerConnectionId = setUpRequest.connectionId();
     }
 
+    /** A contact that its caller has named as established. */
+    TrackedContact(long id, NamedContact named, Moment now) {
+        this.id = id;
+        tag = named.tag();
+        calledNumber = named.calledNumber();
+        callerConnectionId = named.connectionId();
+        attempt = new Attempt(INHERITED, named.switchId(), null, now);
+        isOpen = false;
+        isEstablished = true;
+        isAcknowledged = true;
+        establishedSwitchId = named.switchId();
+    }
+
     /** Whether the contact was taken over as established, as its caller has named it. */
     boolean isInherited() {
         return attempt != null && attempt.ringNumber == INHERITED;
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -95,7 +95,8 @@
                     }
 
                     @Override
-                    public void releaseAcknowledged(long connectionId, String tag) throws InterruptedException {
+                    public void releaseAnswered(long connectionId, String tag, boolean knowsContact)
+                            throws InterruptedException {
                         acknowledgementReached.countDown();
                         // Blocks the reading thread, as the decision thread does when it has no room.
                         acknowledgementsReleased.await();
--- a/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
+++ b/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
@@ -125,7 +125,7 @@
         }
 
         @Override
-        public void releaseAcknowledged(long connectionId, String tag) {
+        public void releaseAnswered(long connectionId, String tag, boolean knowsContact) {
             ownRequests.add("released " + tag);
         }
 
--- a/src/test/java/martenslip/platform/contact/ContactTableModel.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableModel.java
@@ -212,7 +212,7 @@
             if (waitingCallers.containsKey(tag)) {
                 rules.addViolation(1, tag + " was released before its answer");
             }
-            contactTable.notifyController(controller -> contactTable.releaseAcknowledged(tag));
+            contactTable.notifyController(controller -> contactTable.releaseAnswered(1, tag, true));
             return true;
         }
         Response response = (Response) message;
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -270,7 +270,7 @@
         harness.otherCallerConnection = 3;
         contactTable.callerConnectionEnded(2);
         assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"));
-        contactTable.releaseAcknowledged(tag(1));
+        contactTable.releaseAnswered(1, tag(1), true);
         contactTable.callerConnectionEnded(3);
         assertEquals(harness.takeSent(), List.of("log release"));
     }
@@ -324,7 +324,7 @@
         contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 41, null, NO_REPORT);
         harness.advanceToMs(151);
         assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=41", "1: BYE Q.850;cause=41"));
-        contactTable.releaseAcknowledged(tag(1));
+        contactTable.releaseAnswered(1, tag(1), true);
         harness.advanceToMs(5000);
         assertEquals(harness.takeSent(), List.of("log release"));
         assertEquals(contactTable.unacknowledgedReleaseCount(), 0);
@@ -591,7 +591,7 @@
     public void aContactThatIsNamedAfterItsEndIsReleasedAgain() {
         establish();
         contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
-        contactTable.releaseAcknowledged(tag(1));
+        contactTable.releaseAnswered(1, tag(1), true);
         harness.takeSent();
         contactTable.establishedContactReported(namingRequest(3, 1), SWITCH_ID);
         assertEquals(harness.takeSent(), List.of("log named", "3: BYE Q.850;cause=16"));
@@ -654,8 +654,8 @@
         contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(4), 16, null, NO_REPORT);
         contactTable.establishedContactReported(namingRequest(3, 4), SWITCH_ID);
         assertEquals(harness.finishedTags, List.of());
-        contactTable.releaseAcknowledged(tag(1));
-        contactTable.releaseAcknowledged(tag(4));
+        contactTable.releaseAnswered(1, tag(1), true);
+        contactTable.releaseAnswered(1, tag(4), true);
         assertEquals(harness.finishedTags, List.of(1L, 4L));
         contactTable.ended(SWITCH_ID, 42, tag(1), 16, null, NO_REPORT);
         assertEquals(harness.finishedTags, List.of(1L, 4L, 1L));
@@ -744,7 +744,7 @@
             contactTable.notifyController(controller -> contactTable.ring(id, SWITCH_ID, Span.ofMillis(2990)));
             contactTable.started(SWITCH_ID, SWITCH_CONNECTION_ID, tag(i), "c=x\r\n");
             contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(i), 16, null, NO_REPORT);
-            contactTable.releaseAcknowledged(tag(i));
+            contactTable.releaseAnswered(1, tag(i), true);
         }
         assertEquals(contactTable.knownTags(), List.of());
         assertEquals(
@@ -793,4 +793,78 @@
         assertEquals(harness.takeSent(), List.of());
         assertEquals(contactTable.establishedCount(), 1);
     }
+
+    private void nameOnManyConnections(int connections, int namingsEach, long switchId) {
+        int number = 1000;
+        for (int naming = 0; naming < namingsEach; naming++) {
+            for (int connection = 0; connection < connections; connection++) {
+                contactTable.establishedContactReported(namingRequest(100 + connection, number++), switchId);
+            }
+        }
+    }
+
+    /** Guards against review/9: bad clients' namings of unknown ids displaced a usual client's, at the same switch too. */
+    @Test
+    public void namingsOnManyConnectionsDoNotKeepAUsualClientFromItsReleases() {
+        for (int i = 1; i <= 60; i++) {
+            contactTable.establishedContactReported(namingRequest(3, i), SWITCH_ID);
+        }
+        nameOnManyConnections(240, 40, SWITCH_ID);
+        harness.takeSent();
+        for (int i = 1; i <= 60; i++) {
+            contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(i), 16, null, NO_REPORT);
+            assertEquals(harness.takeSent(), List.of("3: BYE Q.850;cause=16"), "call " + i);
+        }
+    }
+
+    /** Beyond what is kept, the release of a contact that gave way is sent to all callers until one knows it. */
+    @Test
+    public void theCallerOfANamedContactThatGaveWayIsSearched() {
+        contactTable.establishedContactReported(namingRequest(3, 1), SWITCH_ID);
+        for (int i = 2; i <= NamedContacts.MAX_COUNT + 1; i++) {
+            contactTable.establishedContactReported(namingRequest(3, i), SWITCH_ID);
+        }
+        harness.takeSent();
+        harness.otherCallerConnection = 0;
+        harness.furtherCallerConnections.addAll(List.of(4L, 3L));
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        assertEquals(
+                harness.takeSent(), List.of("log early-release", "4: BYE Q.850;cause=16", "3: BYE Q.850;cause=16"));
+        contactTable.releaseAnswered(4, tag(1), false);
+        assertEquals(harness.finishedTags, List.of());
+        contactTable.releaseAnswered(3, tag(1), true);
+        assertEquals(harness.finishedTags, List.of(1L));
+        assertEquals(contactTable.unacknowledgedReleaseCount(), 0);
+        assertEquals(contactTable.unclaimedEndCount(), 0);
+    }
+
+    /** Guards against another client's 481 that ends the release of a call (second review, part one). */
+    @Test
+    public void onlyTheConnectionOfTheSetUpMaySayThatItDoesNotKnowTheContact() {
+        establish();
+        harness.otherCallerConnection = 2;
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        assertEquals(harness.takeSent(), List.of("1: BYE Q.850;cause=16"));
+        contactTable.releaseAnswered(2, tag(1), false);
+        assertEquals(contactTable.unacknowledgedReleaseCount(), 1);
+        contactTable.releaseAnswered(1, tag(1), false);
+        assertEquals(contactTable.unacknowledgedReleaseCount(), 0);
+    }
+
+    /** Guards against namings at unknown switches that displace the releases of contacts that stood (review/9). */
+    @Test
+    public void releasesThatOnlyACallerSpeaksOfDisplaceNoOthers() {
+        establish();
+        harness.closedConnections.add(1L);
+        harness.otherCallerConnection = 0;
+        contactTable.ended(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1), 16, null, NO_REPORT);
+        for (int i = 2; i < 10_000; i++) {
+            contactTable.establishedContactReportedAtUnknownSwitch(namingRequest(4, i));
+        }
+        harness.takeSent();
+        harness.otherCallerConnection = 2;
+        harness.advanceToMs(200);
+        assertTrue(harness.takeSent().contains("2: BYE Q.850;cause=16"));
+        assertTrue(contactTable.unacknowledgedReleaseCount() <= 1025);
+    }
 }
--- a/src/test/java/martenslip/platform/contact/RestartModel.java
+++ b/src/test/java/martenslip/platform/contact/RestartModel.java
@@ -178,7 +178,7 @@
 
     private void callerAnswers() {
         byeReceivedByCaller = false;
-        contactTable.releaseAcknowledged(TAG);
+        contactTable.releaseAnswered(1, TAG, true);
     }
 
     private void endFirstConnection() {
--- a/src/test/java/martenslip/platform/contact/WriteQueueModel.java
+++ b/src/test/java/martenslip/platform/contact/WriteQueueModel.java
@@ -372,7 +372,7 @@
             if (waitingCallers.contains(tag)) {
                 rules.addViolation(1, tag + " was released before its answer");
             }
-            inbox.add(() -> contactTable.releaseAcknowledged(tag));
+            inbox.add(() -> contactTable.releaseAnswered(1, tag, true));
             return true;
         }
         Response response = (Response) message;
