--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -480,6 +480,11 @@
             contactTable.releasedOnEndedConnection(switchId, switchConnectionId, tag, q850Cause);
         }
 
+        @Override
+        public void answeredOnEndedConnection(long switchId, long switchConnectionId, String tag) {
+            contactTable.answeredOnEndedConnection(switchId, switchConnectionId, tag);
+        }
+
         @Override
         public void loadReported(long switchId, float[] report) {
             contactTable.loadReported(switchId, report);
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -455,6 +455,18 @@
         }
     }
 
+    /**
+     * A switch's answer was read after its attempt was given up with the connection: the contact is released there, unless
+     * it is being set up or stands there by another attempt.
+     */
+    public void answeredOnEndedConnection(long switchId, long switchConnectionId, String tag) {
+        TrackedContact contact = contactsByTag.get(tag);
+        boolean isThereAgain = contact != null && contact.attempt != null && contact.switchId() == switchId;
+        if (!isThereAgain && !establishedContacts.isNamed(tag)) {
+            outbound.sendFinish(switchId, switchConnectionId, tag, EndCause.NORMAL_CLEARING, () -> {});
+        }
+    }
+
     /** An answer counts only for the attempt in flight, and only if its START has been written. */
     private static boolean isAwaitingAnswerFrom(TrackedContact contact, long switchId) {
         return contact.attempt != null
--- a/src/main/java/martenslip/platform/switchconnection/PendingFinishes.java
+++ b/src/main/java/martenslip/platform/switchconnection/PendingFinishes.java
@@ -42,6 +42,13 @@
         finishesByTag.values().removeIf(finish -> !connectionIds.contains(finish.connectionId));
     }
 
+    /** Adds those of the contacts started on these connections to the ones of the process that has them now. */
+    void moveTo(PendingFinishes successor, Set<Long> connectionIds) {
+        retainConnections(connectionIds);
+        finishesByTag.forEach(successor.finishesByTag::putIfAbsent);
+        finishesByTag.clear();
+    }
+
     /** The causes by tag, oldest first. */
     Map<String, Integer> unexpired(Moment now) {
         removeExpired(now);
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Supplier;
@@ -64,6 +66,12 @@
          */
         void releasedOnEndedConnection(long switchId, long connectionId, String tag, int cause);
 
+        /**
+         * The switch has established a contact (STARTED) whose set-up was given up with its connection: it stands there
+         * and nobody knows of it.
+         */
+        void answeredOnEndedConnection(long switchId, long connectionId, String tag);
+
         /** The switch has reported its load (LOAD). */
         void loadReported(long switchId, float[] report);
 
@@ -186,17 +194,13 @@
     private void checkSuccession(SwitchEndpoint endpoint, long newSwitchId, Moment startedAt) {
         SuccessionCheck check = new SuccessionCheck(startedAt);
         endpoint.succession = new SwitchEndpoint.Succession(check, newSwitchId);
-        // Of a switch that is replaced by another one no connection is kept, so without contacts there is nothing to
-        // tell.
-        if (newSwitchId == endpoint.id || listener.hasEstablishedContactsAt(endpoint.id)) {
-            for (SwitchConnection connection : endpoint.connections) {
-                if (connection.isUsable() && check.mayReachPresentProcess(connection.establishedAt)) {
-                    check.tested(connection.number);
-                    sendTest(connection);
-                }
+        for (SwitchConnection connection : endpoint.connections) {
+            if (connection.isUsable() && check.mayReachPresentProcess(connection.establishedAt)) {
+                check.tested(connection.number);
+                sendTest(connection);
             }
-            timerWheel.scheduleAfter(SuccessionCheck.REPLY_TIMEOUT, () -> completeSuccession(endpoint, check));
         }
+        timerWheel.scheduleAfter(SuccessionCheck.REPLY_TIMEOUT, () -> completeSuccession(endpoint, check));
         completeSuccessionIfKnown(endpoint);
     }
 
@@ -218,6 +222,7 @@
                     .forEach(connection -> end(connection, "reached the process before the restart"));
             endpoint.pendingFinishes.retainConnections(endpoint.connectionIds());
         } else {
+            endpoint.succeededBy(succession.newSwitchId(), check.firstNumber());
             removeReplaced(endpoint);
         }
         listener.processReplaced(endpoint.id, succession.newSwitchId(), check.firstNumber());
@@ -233,7 +238,40 @@
         listener.log("switch " + endpoint.id + ": another process has " + endpoint.address);
         endpoint.unlist();
         endpoints.remove(endpoint.id);
-        List.copyOf(endpoint.connections).forEach(connection -> end(connection, "address of another switch"));
+        Set<Long> retiredIds = new HashSet<>();
+        for (SwitchConnection connection : List.copyOf(endpoint.connections)) {
+            if (endpoint.reachesSuccessor(connection)) {
+                retiredIds.add(connection.transportConnection.id());
+                retireReplaced(connection);
+            } else {
+                end(connection, "address of another switch");
+            }
+        }
+        handOverFinishes(endpoint, retiredIds);
+    }
+
+    /**
+     * Ends a connection that reaches the process of the switch that has followed, in order: its set-ups are given up at
+     * once, but the releases of contacts established there may be on their way on it.
+     */
+    private void retireReplaced(SwitchConnection connection) {
+        listener.connectionEnded(connection.endpoint.id, connection.transportConnection.id(), true);
+        retire(connection, "address of another switch");
+    }
+
+    /** What the contacts established on these connections are owed is owed by the switch that has followed. */
+    private void handOverFinishes(SwitchEndpoint endpoint, Set<Long> connectionIds) {
+        endpoints.values().stream()
+                .filter(other -> other.listed && other.address.equals(endpoint.address))
+                .findFirst()
+                .ifPresent(successor -> endpoint.pendingFinishes.moveTo(successor.pendingFinishes, connectionIds));
+    }
+
+    /** Ends this side of a connection; what the switch still writes is read, for a limited time. */
+    private void retire(SwitchConnection connection, String reason) {
+        connection.retiring = true;
+        connection.transportConnection.endOutput();
+        timerWheel.scheduleAfter(RETIRE_TIMEOUT, () -> connection.transportConnection.close(reason));
     }
 
     /**
@@ -585,9 +623,7 @@
             connection.probe = false;
             return;
         }
-        connection.retiring = true;
-        connection.transportConnection.endOutput();
-        timerWheel.scheduleAfter(RETIRE_TIMEOUT, () -> connection.transportConnection.close("it lives"));
+        retire(connection, "it lives");
     }
 
     private boolean isOpen(SwitchConnection connection) {
@@ -675,8 +711,8 @@
     private void handleMessage(SwitchConnection connection, SwitchMessage message) {
         SwitchEndpoint endpoint = connection.endpoint;
         long connectionId = connection.transportConnection.id();
-        if (!isOpen(connection)) {
-            handleLateMessage(endpoint, connectionId, message);
+        if (!isOpen(connection) || endpoint.reachesSuccessor(connection)) {
+            handleLateMessage(connection, message);
             return;
         }
         switch (message.verb()) {
@@ -702,15 +738,23 @@
     }
 
     /**
-     * Handles a message that was read whole before its connection ended and arrives here after that: any thread may
-     * notice the end first. The set-ups of the connection have been given up, but a release of an established contact
-     * is still due.
+     * Handles a message of a connection whose set-ups have been given up, while a release of an established contact is
+     * still due: one that was read whole before the connection ended and arrives here after that, as any thread may
+     * notice the end first, or one of a connection that is being retired.
      */
-    private void handleLateMessage(SwitchEndpoint endpoint, long connectionId, SwitchMessage message) {
+    private void handleLateMessage(SwitchConnection connection, SwitchMessage message) {
+        long switchId = connection.endpoint.switchIdOf(connection);
         switch (message.verb()) {
             case "FINISH" ->
-                listener.releasedOnEndedConnection(endpoint.id, connectionId, message.tag(), message.cause());
-            case "FINISHED" -> endpoint.pendingFinishes.remove(message.tag());
+                listener.releasedOnEndedConnection(
+                        switchId, connection.transportConnection.id(), message.tag(), message.cause());
+            case "STARTED" ->
+                listener.answeredOnEndedConnection(switchId, connection.transportConnection.id(), message.tag());
+            case "FINISHED" ->
+                endpoints
+                        .getOrDefault(switchId, connection.endpoint)
+                        .pendingFinishes
+                        .remove(message.tag());
             default -> drops.increment("a switch's line after its connection");
         }
     }
--- a/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchEndpoint.java
@@ -25,6 +25,11 @@
     /** Finds out which connections reach the process that has followed; null while none has. */
     Succession succession;
 
+    /** The switch whose process has followed at the address, and its first connection; 0 while there is none. */
+    private long successorId;
+
+    private long successorFirstNumber;
+
     boolean listed = true;
     boolean draining;
     /** A connection was refused, while no other was open, since the switch was last listed as not draining. */
@@ -55,6 +60,22 @@
         liveness.setListed(true);
     }
 
+    /** Another switch's process has followed; the connections from the given number on reach it. */
+    void succeededBy(long newSwitchId, long firstNumber) {
+        successorId = newSwitchId;
+        successorFirstNumber = firstNumber;
+    }
+
+    /** Whether the connection reaches the process of the switch that has followed. */
+    boolean reachesSuccessor(SwitchConnection connection) {
+        return successorId != 0 && connection.established && connection.number >= successorFirstNumber;
+    }
+
+    /** The switch whose process the connection reaches. */
+    long switchIdOf(SwitchConnection connection) {
+        return reachesSuccessor(connection) ? successorId : id;
+    }
+
     void unlist() {
         listed = false;
         acceptsStarts = false;
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -101,6 +101,8 @@
         volatile long owedLinesDelayMs;
         /** The circuits of the group, all of them reported as free. */
         volatile int circuits = USUAL_CIRCUITS;
+        /** What is written on a connection once the controller has ended its side. */
+        final Map<Socket, String> linesAtEnd = new ConcurrentHashMap<>();
         /** Whether the reports tell of the calls that stand; otherwise all circuits are reported as free. */
         volatile boolean reportsHeldCircuits;
         /** The calls that {@link #serveAll} has answered and that were not released. */
@@ -134,6 +136,10 @@
                             (String) message.get("blob"),
                             remainingMs(message)));
                 }
+                String lineAtEnd = linesAtEnd.remove(socket);
+                if (lineAtEnd != null) {
+                    socket.getOutputStream().write(lineAtEnd.getBytes(StandardCharsets.UTF_8));
+                }
             });
         }
 
--- a/src/test/java/martenslip/platform/ReplacedSwitchTest.java
+++ b/src/test/java/martenslip/platform/ReplacedSwitchTest.java
@@ -222,6 +222,22 @@
         assertTrue(release.contains("Call-ID: " + OTHER_CALL_ID) && release.contains("cause=16"), release);
     }
 
+    /**
+     * Guards against review/7: the connections that reach the new process under the old id were closed with the releases that
+     * were on their way on them.
+     */
+    @Test
+    public void aReleaseOnItsWayWhenTheListNamesTheNewSwitchIsPassedOn() throws Exception {
+        SwitchStandIn newSwitch = replaceWithoutRefusal();
+        long startedAtMs = System.currentTimeMillis();
+        awaitConnections(newSwitch, 2);
+        ReceivedMessage start = establish(OTHER_CALL_ID, newSwitch);
+        newSwitch.linesAtEnd.put(start.socket(), finishLine(OTHER_CALL_ID));
+        tell(2, oldInstance("removed"), newInstance(startedAtMs));
+        String release = caller.next();
+        assertTrue(release.contains("Call-ID: " + OTHER_CALL_ID) && release.contains("cause=16"), release);
+    }
+
     /** Silence of a state that doesn't change, and a reset of the connections, cut nothing at the new process. */
     @Test
     public void contactsOfTheNewProcessOutliveSilenceAndAResetOfItsConnections() throws Exception {
--- a/src/test/java/martenslip/platform/contact/ContactTableTest.java
+++ b/src/test/java/martenslip/platform/contact/ContactTableTest.java
@@ -867,4 +867,25 @@
         assertTrue(harness.takeSent().contains("2: BYE Q.850;cause=16"));
         assertTrue(contactTable.unacknowledgedReleaseCount() <= 1025);
     }
+
+    /** A call that a switch answered while its set-up was given up with the connection must not stand there unknown. */
+    @Test
+    public void anAnswerAfterTheEndOfItsConnectionIsReleasedAtTheSwitch() {
+        offerAndRing();
+        contactTable.switchConnectionEnded(SWITCH_ID, SWITCH_CONNECTION_ID, true);
+        harness.takeSent();
+        contactTable.answeredOnEndedConnection(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1));
+        assertEquals(harness.takeSent(), List.of("FINISH 7 40 1 16"));
+    }
+
+    /** The same contact set up there again keeps its new attempt. */
+    @Test
+    public void anAnswerAfterTheEndOfItsConnectionDoesNotEndTheNextAttempt() {
+        offerAndRing();
+        contactTable.switchConnectionEnded(SWITCH_ID, SWITCH_CONNECTION_ID, true);
+        contactTable.notifyController(controller -> contactTable.ring(1, SWITCH_ID, Span.ofMillis(2000)));
+        harness.takeSent();
+        contactTable.answeredOnEndedConnection(SWITCH_ID, SWITCH_CONNECTION_ID, tag(1));
+        assertEquals(harness.takeSent(), List.of());
+    }
 }
--- a/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
+++ b/src/test/java/martenslip/platform/switchconnection/SwitchConnectionsTest.java
@@ -82,6 +82,11 @@
             events.add("ended " + tag + " " + cause);
         }
 
+        @Override
+        public void answeredOnEndedConnection(long switchId, long connectionId, String tag) {
+            events.add("answered late " + tag);
+        }
+
         @Override
         public void releasedOnEndedConnection(long switchId, long connectionId, String tag, int cause) {
             events.add("released late " + tag + " " + cause);
@@ -146,7 +151,7 @@
         assertEquals(events, List.of("connection ended"));
         started.run();
         release.run();
-        assertEquals(events, List.of("connection ended", "released late " + TAG + " 16"));
+        assertEquals(events, List.of("connection ended", "answered late " + TAG, "released late " + TAG + " 16"));
     }
 
     /**
@@ -184,7 +189,8 @@
         connections.switchListed(SWITCH_ID + 1, (InetSocketAddress) listenSocket.getLocalSocketAddress(), false);
         connections.addressListed(SWITCH_ID + 1, new Moment(System.nanoTime() + 2_000_000_000));
         started.run();
-        assertEquals(events, List.of("connection ended", "connection ended", "process replaced"));
+        assertEquals(
+                events, List.of("connection ended", "connection ended", "process replaced", "answered late " + TAG));
     }
 
     /** A restart must not cost the set-ups on a connection that reaches the new process, whether or not contacts stand. */
