--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -48,8 +48,8 @@
 
     private static final Span SHUTDOWN_POLL_INTERVAL = Span.ofMillis(50);
     private static final Span COUNTS_LOG_INTERVAL = Span.ofMillis(5000);
-    /** File descriptors of files and the JVM, the two journal connections, the listener and the peers' socket. */
-    private static final int RESERVED_DESCRIPTORS = 28;
+    /** Descriptors of files and the JVM, two journal connections of two requests, the listener and the peers' socket. */
+    private static final int RESERVED_DESCRIPTORS = 30;
     /** Limits the threads for callers' connections. */
     private static final int MAX_CALLER_CONNECTIONS = 500;
 
--- a/src/main/java/martenslip/platform/journal/JournalConnection.java
+++ b/src/main/java/martenslip/platform/journal/JournalConnection.java
@@ -1,37 +1,35 @@
 package martenslip.platform.journal;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import martenslip.control.Span;
-import martenslip.platform.json.Json;
 
 /**
- * Reads one address of the journal service on its own thread: server-sent events from the last position on, and a
- * comment each second. A stream that fails, falls silent or can't be parsed is opened again at once, then with growing
- * pauses.
+ * Reads one address of the journal service: server-sent events from the last position on, and a comment each second. A
+ * stream that fails, falls silent or can't be parsed is opened again at once, then with growing pauses.
+ *
+ * <p>A wait for the header and the silence of a stream are two times: a service that is slow to answer is not lost. While
+ * one request waits for its header, a second one is made at intervals, in case the first will never be answered; the
+ * one that is answered first is read.
  *
  * <p>It is ended by a flag, never by an interrupt: an interrupt does not wake a socket read, and a late one would hit
- * the next wait. A connection that is no longer active notices it at its next line or at the read timeout.
+ * the next wait. A connection that is no longer active notices it at its next line or at the silence limit.
  */
 final class JournalConnection {
-    private static final int STACK_BYTES = 256 * 1024;
-    private static final int CONNECT_TIMEOUT_MS = 700;
+    private static final int STACK_BYTES = 128 * 1024;
     /** The service sends a comment each second. */
-    private static final int READ_TIMEOUT_MS = 1600;
-
-    /** Of a line, in bytes, and of an event, in characters. */
-    private static final int MAX_LENGTH = 1 << 20;
+    private static final Span MAX_SILENCE = Span.ofMillis(1600);
+    /** Three time-outs of a slow service, which turns away what would take longer than one. */
+    private static final Span MAX_HEADER_WAIT = Span.ofMillis(6000);
+    /** A request without its header for this long is accompanied by another one. */
+    private static final Span HEADER_RETRY_INTERVAL = Span.ofMillis(1600);
 
     private static final Span FIRST_RETRY_PAUSE = Span.ofMillis(50);
     private static final Span MAX_RETRY_PAUSE = Span.ofMillis(400);
-    private static final int MIN_RETRY_PAUSE_MS = 10;
+    private static final Span MIN_RETRY_PAUSE = Span.ofMillis(10);
+    /** How often silence and waits are looked at. */
+    private static final long CHECK_INTERVAL_MS = 20;
 
-    /** Called by the connection's thread. */
+    /** Called by threads of the connection. */
     interface Listener {
         /** Position of the last event that was delivered; the stream is opened after it. */
         long position();
@@ -48,13 +46,26 @@
     private final Listener listener;
     private boolean ended;
 
+    /** The request whose stream is read; null while none has been answered. */
+    private JournalRequest stream;
+    /** The request that has waited for its header the longest; null while there is none. */
+    private JournalRequest firstRequest;
+    /** The request made while another one waits; null while there is none. */
+    private JournalRequest secondRequest;
+
+    private boolean progressed;
+    private Span pause = Span.ZERO;
+    private long lastDataNs;
+    private long nextRequestNs;
+
     JournalConnection(InetSocketAddress address, Listener listener) {
         this.address = address;
         this.listener = listener;
     }
 
     void start() {
-        Thread thread = new Thread(null, this::readUntilEnded, "journal", STACK_BYTES);
+        nextRequestNs = System.nanoTime();
+        Thread thread = new Thread(null, this::superviseUntilEnded, "journal-watch", STACK_BYTES);
         thread.setDaemon(true);
         thread.start();
     }
@@ -65,99 +76,143 @@
         notifyAll();
     }
 
-    private void readUntilEnded() {
-        Span pause = Span.ZERO;
-        do {
-            long positionBefore = listener.position();
-            boolean receivedData = false;
-            try {
-                receivedData = readStream();
-                listener.connectionLost("ended");
-            } catch (IOException | RuntimeException | StackOverflowError | OutOfMemoryError e) {
-                // Asked again: without this thread no change of the switch list would ever be heard.
-                listener.connectionLost(String.valueOf(e.getMessage()));
-            } catch (InterruptedException e) {
-                return;
+    private synchronized void superviseUntilEnded() {
+        try {
+            while (!ended) {
+                supervise();
+                wait(CHECK_INTERVAL_MS);
             }
-            boolean progressed = receivedData || listener.position() != positionBefore;
-            pause = progressed
-                    ? Span.ZERO
-                    : pause.times(2).atLeast(FIRST_RETRY_PAUSE).atMost(MAX_RETRY_PAUSE);
-        } while (pauseUnlessEnded(Math.max(MIN_RETRY_PAUSE_MS, pause.ns() / 1_000_000)));
+            // A stream goes on until its listener has no more use for it, or it falls silent.
+            while (stream != null) {
+                abandonSilentStream();
+                wait(CHECK_INTERVAL_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            abandonWaiting();
+        }
     }
 
-    /** Returns false if the connection was ended. */
-    private synchronized boolean pauseUnlessEnded(long pauseMs) {
-        long deadlineNs = System.nanoTime() + pauseMs * 1_000_000;
-        try {
-            for (long remainingMs = pauseMs;
-                    remainingMs > 0 && !ended;
-                    remainingMs = (deadlineNs - System.nanoTime()) / 1_000_000) {
-                wait(remainingMs);
+    private void supervise() {
+        if (stream != null) {
+            abandonSilentStream();
+        } else if (firstRequest == null) {
+            if (System.nanoTime() - nextRequestNs >= 0) {
+                firstRequest = startRequest();
+            }
+        } else if (firstRequest.age().longerThan(MAX_HEADER_WAIT)) {
+            JournalRequest lost = firstRequest;
+            firstRequest = secondRequest;
+            secondRequest = null;
+            lost.abandon();
+        } else if ((secondRequest == null ? firstRequest : secondRequest).age().longerThan(HEADER_RETRY_INTERVAL)) {
+            JournalRequest unanswered = secondRequest;
+            secondRequest = startRequest();
+            if (unanswered != null) {
+                unanswered.abandon();
             }
-        } catch (InterruptedException e) {
-            return false;
         }
-        return !ended;
     }
 
-    /** Returns true if any line was received. */
-    private boolean readStream() throws IOException, InterruptedException {
-        HttpURLConnection connection = (HttpURLConnection)
-                URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort() + "/journal")
-                        .toURL()
-                        .openConnection();
+    private JournalRequest startRequest() {
+        JournalRequest request = new JournalRequest(address, listener.position(), MAX_HEADER_WAIT, requestListener);
         try {
-            connection.setConnectTimeout(CONNECT_TIMEOUT_MS);
-            connection.setReadTimeout(READ_TIMEOUT_MS);
-            connection.setUseCaches(false);
-            connection.setRequestProperty("Last-Event-ID", Long.toString(listener.position()));
-            connection.setRequestProperty("Accept", "text/event-stream");
-            if (connection.getResponseCode() != 200) {
-                throw new IOException("status " + connection.getResponseCode());
+            request.start();
+            return request;
+        } catch (OutOfMemoryError e) {
+            listener.connectionLost("no thread for a request");
+            scheduleNextRequest();
+            return null;
+        }
+    }
+
+    private void abandonSilentStream() {
+        if (new Span(System.nanoTime() - lastDataNs).longerThan(MAX_SILENCE)) {
+            JournalRequest silent = stream;
+            streamEnded("says nothing any more");
+            silent.abandon();
+        }
+    }
+
+    private void streamEnded(String reason) {
+        stream = null;
+        listener.connectionLost(reason);
+        scheduleNextRequest();
+        notifyAll();
+    }
+
+    private void scheduleNextRequest() {
+        pause = progressed
+                ? Span.ZERO
+                : pause.times(2).atLeast(FIRST_RETRY_PAUSE).atMost(MAX_RETRY_PAUSE);
+        progressed = false;
+        nextRequestNs = System.nanoTime() + pause.atLeast(MIN_RETRY_PAUSE).ns();
+    }
+
+    private void abandonWaiting() {
+        for (JournalRequest waiting : new JournalRequest[] {firstRequest, secondRequest}) {
+            if (waiting != null) {
+                waiting.abandon();
             }
-            return readEvents(connection.getInputStream());
-        } finally {
-            connection.disconnect();
         }
+        firstRequest = null;
+        secondRequest = null;
     }
 
-    private boolean readEvents(InputStream in) throws IOException, InterruptedException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream(512);
-        StringBuilder data = new StringBuilder();
-        byte[] buffer = new byte[4096];
-        boolean receivedData = false;
-        for (int readBytes = in.read(buffer); readBytes >= 0; readBytes = in.read(buffer)) {
-            for (int i = 0; i < readBytes; i++) {
-                if (buffer[i] != '\n') {
-                    line.write(buffer[i]);
-                    if (line.size() > MAX_LENGTH) {
-                        throw new IOException("a line without end");
+    private final JournalRequest.Listener requestListener = new JournalRequest.Listener() {
+        @Override
+        public boolean answered(JournalRequest request) {
+            synchronized (JournalConnection.this) {
+                boolean isWanted = !ended && stream == null && (request == firstRequest || request == secondRequest);
+                if (isWanted) {
+                    JournalRequest other = request == firstRequest ? secondRequest : firstRequest;
+                    stream = request;
+                    lastDataNs = System.nanoTime();
+                    firstRequest = null;
+                    secondRequest = null;
+                    if (other != null) {
+                        other.abandon();
                     }
-                    continue;
                 }
-                String text = line.toString(StandardCharsets.UTF_8);
-                line.reset();
-                if (!listener.dataReceived(this)) {
-                    return receivedData;
+                return isWanted;
+            }
+        }
+
+        @Override
+        public boolean lineReceived(JournalRequest request) {
+            synchronized (JournalConnection.this) {
+                if (request != stream) {
+                    return false;
                 }
-                receivedData = true;
-                text = text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
-                if (text.isEmpty()) {
-                    if (data.length() > 0) {
-                        listener.eventReceived(
-                                this,
-                                SwitchListEvent.parse(Json.parse(data.toString().getBytes(StandardCharsets.UTF_8))));
-                        data.setLength(0);
-                    }
-                } else if (text.startsWith("data:")) {
-                    data.append(text, text.startsWith("data: ") ? 6 : 5, text.length());
-                    if (data.length() > MAX_LENGTH) {
-                        throw new IOException("an event without end");
+                lastDataNs = System.nanoTime();
+                progressed = true;
+            }
+            return listener.dataReceived(JournalConnection.this);
+        }
+
+        @Override
+        public void eventReceived(JournalRequest request, SwitchListEvent event) throws InterruptedException {
+            listener.eventReceived(JournalConnection.this, event);
+        }
+
+        @Override
+        public void ended(JournalRequest request, String reason) {
+            synchronized (JournalConnection.this) {
+                if (request == stream) {
+                    streamEnded(reason);
+                } else if (request == secondRequest) {
+                    secondRequest = null;
+                    listener.connectionLost(reason);
+                } else if (request == firstRequest) {
+                    firstRequest = secondRequest;
+                    secondRequest = null;
+                    listener.connectionLost(reason);
+                    if (firstRequest == null) {
+                        scheduleNextRequest();
                     }
                 }
             }
         }
-        return receivedData;
-    }
+    };
 }
--- a/src/test/java/martenslip/platform/ControllerServiceTest.java
+++ b/src/test/java/martenslip/platform/ControllerServiceTest.java
@@ -25,6 +25,9 @@
 
 /** The controller as a service on loopback, between stand-ins of callers, switches and the journal. */
 public class ControllerServiceTest {
+    /** What the journal service has counts as told 4 s after it fell silent. */
+    private static final int MAX_HEARD_AFTER_MS = 4000;
+
     private static final String CALL_ID = "9b1f03aa5c7e2d41";
     private static final String OTHER_CALL_ID = "9b1f03aa5c7e2d42";
     private static final String DESCRIPTION = "v=0\r\nc=IN \"\\\u20ac\r\n";
@@ -297,6 +300,42 @@
         assertTrue(connection.next().startsWith("SIP/2.0 503 "));
     }
 
+    /** Guards against review/10: a journal service that takes 1.8 s for each answer was given up before it gave one. */
+    @Test(timeOut = 30_000)
+    public void aSlowJournalIsHeard() throws Exception {
+        CallerConnection connection = connectReadyCaller();
+        PlatformStandIn.JournalStandIn slowJournal = platform.new JournalStandIn();
+        slowJournal.headerDelayMs = 1800;
+        slowJournal.addEvent(initialSwitchList("up"));
+        slowJournal.addEvent(
+                switchListEvent(2, false, instanceJson("s-1", switches.get(1).port(), 1, "draining")));
+        long reloadedNs = System.nanoTime();
+        reloadWithJournal(slowJournal);
+        PlatformStandIn.awaitCondition(service, () -> service.journalPosition() == 2);
+        long heardAfterMs = (System.nanoTime() - reloadedNs) / 1_000_000;
+        assertTrue(heardAfterMs < MAX_HEARD_AFTER_MS, "heard after " + heardAfterMs + " ms");
+        connection.invite(CALL_ID, "dear", 3000, DESCRIPTION);
+        assertTrue(connection.next().startsWith("SIP/2.0 503 "));
+    }
+
+    /** A request that is never answered must not keep the next one waiting for the time a slow service may take. */
+    @Test(timeOut = 30_000)
+    public void aRequestThatIsNeverAnsweredIsAccompaniedByAnother() throws Exception {
+        connectReadyCaller();
+        PlatformStandIn.JournalStandIn hangingJournal = platform.new JournalStandIn();
+        hangingJournal.headerDelayMs = 60_000;
+        hangingJournal.addEvent(initialSwitchList("up"));
+        hangingJournal.addEvent(
+                switchListEvent(2, false, instanceJson("s-1", switches.get(1).port(), 1, "draining")));
+        reloadWithJournal(hangingJournal);
+        hangingJournal.nextRequestedPosition();
+        long askedNs = System.nanoTime();
+        hangingJournal.headerDelayMs = 0;
+        PlatformStandIn.awaitCondition(service, () -> service.journalPosition() == 2);
+        long heardAfterMs = (System.nanoTime() - askedNs) / 1_000_000;
+        assertTrue(heardAfterMs < MAX_HEARD_AFTER_MS, "heard after " + heardAfterMs + " ms");
+    }
+
     @Test
     public void twoReloadsInARowEndAtTheSecondJournal() throws Exception {
         connectReadyCaller();
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -312,6 +312,8 @@
         volatile String brokenEvent;
         /** Accepts the request and sends nothing, not even a response header. */
         volatile boolean isSilent;
+        /** How long each request waits for its response header. */
+        volatile long headerDelayMs;
 
         JournalStandIn() throws IOException {
             listener = listen(0, socket -> {
@@ -330,6 +332,11 @@
                         return;
                     }
                 }
+                try {
+                    Thread.sleep(headerDelayMs);
+                } catch (InterruptedException e) {
+                    return;
+                }
                 write(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
                 for (int eventIndex = 0; !socket.isClosed(); ) {
                     for (; eventIndex < events.size(); eventIndex++) {
