--- a/src/main/java/martenslip/platform/CallerInbox.java
+++ b/src/main/java/martenslip/platform/CallerInbox.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import martenslip.control.Span;
+import martenslip.sip.transport.LatencyHistogram;
 
 /**
  * Callers' work for the decision thread: bounded by {@link InboxQuota}, taken in the turns of {@link FairTaskQueue}. While
--- a/src/main/java/martenslip/platform/ControllerService.java
+++ b/src/main/java/martenslip/platform/ControllerService.java
@@ -50,8 +50,8 @@
     private static final Span COUNTS_LOG_INTERVAL = Span.ofMillis(5000);
     /** Descriptors of files and the JVM, two journal connections of two requests, the listener and the peers' socket. */
     private static final int RESERVED_DESCRIPTORS = 30;
-    /** Limits the threads for callers' connections. */
-    private static final int MAX_CALLER_CONNECTIONS = 500;
+    /** Limits the threads and buffers for callers' connections; over a third of any process's descriptors here. */
+    private static final int MAX_CALLER_CONNECTIONS = 1400;
 
     private static final Span CALLER_FIRST_MESSAGE_TIMEOUT = Span.ofMillis(2000);
     private static final Span CALLER_IDLE_TIMEOUT = Span.ofMillis(20_000);
@@ -264,7 +264,8 @@
                         + switchConnections.connectionCount()
                         + " threads=" + Thread.activeCount() + " waiting=" + loop.queueSize() + " callers-waiting="
                         + callerInbox.size() + " waiting-kb=" + callerInbox.usedBytes() / 1024 + " waits="
-                        + callerInbox.takeWaitsText()
+                        + callerInbox.takeWaitsText() + " start-waits=" + switchConnections.takeStartWaitsText()
+                        + " set-up-times=" + contactTable.takeSetUpTimesText()
                         + " open-kb=" + contactTable.openBytes() / 1024 + " drops="
                         + drops.counts());
         wheel.scheduleAfter(COUNTS_LOG_INTERVAL, this::logCounts);
--- a/src/main/java/martenslip/platform/caller/CallerConnection.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnection.java
@@ -94,6 +94,27 @@
         return connection.closeIfUnused(reason, this::isActivityIdle);
     }
 
+    /** Whether the connection may be closed for a new one though it is not idle. Its unread input is not considered. */
+    boolean isWorthLessThanNewcomer() {
+        return activity.isAbusive(clock.getAsLong()) || connection.isUnused(this::isOnlyRefused);
+    }
+
+    private boolean isOnlyRefused() {
+        return activity.isOnlyRefused(clock.getAsLong());
+    }
+
+    /**
+     * Closes the connection if its caller has got nothing but refusals and nothing is unread or open, or whatever is open
+     * if it is abusive; returns whether it did.
+     */
+    boolean closeForNewcomer(String reason) {
+        if (activity.isAbusive(clock.getAsLong())) {
+            connection.close(reason);
+            return true;
+        }
+        return connection.closeIfUnused(reason, this::isOnlyRefused);
+    }
+
     /** Closes the connection if it has no pending work, however short it has been idle; returns whether it did. */
     boolean closeIfSettled(String reason) {
         return connection.closeIfUnused(reason, this::isActivitySettled);
--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import martenslip.control.Span;
 import martenslip.platform.contact.CallerCancellation;
 import martenslip.platform.contact.ContactSettings;
@@ -316,7 +318,8 @@
     /** Waits a limited time for a connection to close; further callers wait in the listen backlog meanwhile. */
     private boolean waitForRoom() {
         for (int i = 0; callers.size() >= connectionLimit; i++) {
-            if (i == MAX_ROOM_POLLS || !evictIdleConnection("idle, room for a new one") && !pause()) {
+            if (i == MAX_ROOM_POLLS
+                    || !evictIdleConnection("idle, room for a new one") && !evictForNewcomer() && !pause()) {
                 return false;
             }
         }
@@ -330,15 +333,36 @@
      * it late.
      */
     private boolean evictIdleConnection(String reason) {
+        return evict(CallerConnection::isIdle, CallerConnection.EVICTION_ORDER, caller -> caller.closeIfIdle(reason));
+    }
+
+    /**
+     * Closes a connection that speaks, but is worth less than one that waits unread: its caller has got nothing but
+     * refusals, or leaves its answers without ACK. Otherwise connections that are never idle keep everyone else out.
+     * Returns false if there is none.
+     */
+    private boolean evictForNewcomer() {
+        return evict(
+                CallerConnection::isWorthLessThanNewcomer,
+                CallerConnection.EVICTION_ORDER,
+                caller -> caller.closeForNewcomer("only refused, room for a new one"));
+    }
+
+    /** Closes the first connection in the order that is a candidate and not in use; returns false if there is none. */
+    private boolean evict(
+            Predicate<CallerConnection> isCandidate,
+            Comparator<CallerConnection> order,
+            Predicate<CallerConnection> closeUnlessInUse) {
         Set<CallerConnection> inUse = new HashSet<>();
         for (int i = 0; i < MAX_EVICTION_CANDIDATES; i++) {
+            // Not sorted: the order changes while reading threads go on.
             Optional<CallerConnection> candidate = callers.values().stream()
-                    .filter(caller -> !inUse.contains(caller) && caller.isIdle())
-                    .min(CallerConnection.EVICTION_ORDER);
+                    .filter(caller -> !inUse.contains(caller) && isCandidate.test(caller))
+                    .min(order);
             if (candidate.isEmpty()) {
                 return false;
             }
-            if (candidate.get().closeIfIdle(reason)) {
+            if (closeUnlessInUse.test(candidate.get())) {
                 return true;
             }
             inUse.add(candidate.get());
--- a/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
+++ b/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
@@ -156,6 +156,9 @@
             return;
         }
         caller.hasSentValidMessage = true;
+        if (request.establishedSwitch() != null) {
+            caller.activity.contactNamed();
+        }
         caller.cancellations.put(request.tag(), cancellation);
         if (!isOpen.test(caller.connection.id())) {
             // The connection ended meanwhile, perhaps before the entry above could be seen and cancelled.
--- a/src/main/java/martenslip/platform/caller/ConnectionActivity.java
+++ b/src/main/java/martenslip/platform/caller/ConnectionActivity.java
@@ -24,6 +24,9 @@
     /** An answer whose ACK has not come for this long is overdue: the caller gets no further call until it comes. */
     static final Span ACK_OVERDUE = Span.ofMillis(2000);
 
+    /** Refusals in a row, without any call before them, that no caller needs who waits between its tries. */
+    static final int MANY_REFUSALS = 64;
+
     /** How long an overdue ACK counts against the caller. */
     private static final Span MAX_OVERDUE_AGE = Span.ofMillis(10_000);
 
@@ -31,6 +34,11 @@
     static final int MAX_UNACKNOWLEDGED = 256;
 
     private int openSetUps;
+    /** Set-ups refused since the connection was accepted. */
+    private int refusals;
+    /** Whether the caller has acknowledged a 200, or named a contact that stands. */
+    private boolean hasHadContact;
+
     private long lastReceivedNs;
     private long lastActivityNs;
     /** The time of each 200 whose ACK has not been read, by Call-ID, the oldest first. */
@@ -71,17 +79,23 @@
         answerTimesNs.put(callId, nowNs);
     }
 
+    /** The caller has named a contact that stands. */
+    synchronized void contactNamed() {
+        hasHadContact = true;
+    }
+
     /** The final response of an open set-up was written, or its connection has ended. */
     synchronized void finalResponseWritten(String callId, long nowNs) {
         openSetUps--;
         lastActivityNs = nowNs;
+        refusals += answerTimesNs.containsKey(callId) ? 0 : 1;
         // An ACK may be read before the writing thread gets here: it has removed the entry.
         answerTimesNs.computeIfPresent(callId, (key, queuedNs) -> nowNs);
     }
 
     /** A message of the caller shows that it has received the 200 of this set-up. */
     synchronized void acknowledged(String callId) {
-        answerTimesNs.remove(callId);
+        hasHadContact |= answerTimesNs.remove(callId) != null;
     }
 
     /** The number of set-ups whose final response has not been written. */
@@ -112,6 +126,19 @@
         return isSettled(nowNs) && nowNs - lastActivityNs > MIN_IDLE.ns();
     }
 
+    /** Whether the connection is settled and its caller has got nothing but refusals. */
+    synchronized boolean isOnlyRefused(long nowNs) {
+        return refusals > 0 && !hasHadContact && isSettled(nowNs);
+    }
+
+    /**
+     * Whether the caller keeps the connection from settling though it has nothing to show for it: answers without ACK, or
+     * {@link #MANY_REFUSALS} and no call.
+     */
+    synchronized boolean isAbusive(long nowNs) {
+        return hasOverdueAck(nowNs) || refusals >= MANY_REFUSALS && !hasHadContact && unacknowledgedCount(nowNs) == 0;
+    }
+
     /** The time of the last message received, or of the acceptance before the first. */
     synchronized long lastReceivedNs() {
         return lastReceivedNs;
--- a/src/main/java/martenslip/platform/contact/ContactTable.java
+++ b/src/main/java/martenslip/platform/contact/ContactTable.java
@@ -22,6 +22,7 @@
 import martenslip.platform.contact.EndedContacts.SettledEnd;
 import martenslip.platform.contact.NamedContacts.NamedContact;
 import martenslip.sip.message.Request;
+import martenslip.sip.transport.LatencyHistogram;
 import martenslip.sip.transport.QueuedMessage;
 import martenslip.tracking.AnswerDeadline;
 
@@ -63,6 +64,9 @@
 
     private final ArrayDeque<Consumer<Controller>> pendingNotifications = new ArrayDeque<>();
     private final ContactCounters counters = new ContactCounters();
+    /** How long set-ups took from the order of their ring to the switch's answer. */
+    private final LatencyHistogram setUpTimes = new LatencyHistogram();
+
     private final ModuleTimers moduleTimers;
     private Controller controller;
     private boolean isNotifying;
@@ -119,6 +123,11 @@
         return establishedContacts.hasContactsAt(switchId);
     }
 
+    /** How long set-ups took from the order of their ring to the switch's answer, since the last call. */
+    public String takeSetUpTimesText() {
+        return setUpTimes.takeText();
+    }
+
     /** The number of established contacts whose caller has not acknowledged the answer. */
     public int unacknowledgedCount() {
         return establishedContacts.unacknowledgedCount();
@@ -384,6 +393,7 @@
         Request inviteRequest = contact.setUpRequest.invite();
         int ringNumber = contact.attempt.ringNumber;
         Span elapsed = wheel.now().since(contact.attempt.startedAt);
+        setUpTimes.add(elapsed, LatencyHistogram.NO_CONNECTION);
         contact.attempt.timeLimitTimer.cancel();
         inFlightById.remove(contact.id);
         closeSetUp(contact);
--- a/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
+++ b/src/main/java/martenslip/platform/switchconnection/SwitchConnections.java
@@ -20,6 +20,7 @@
 import martenslip.sip.transport.Connection;
 import martenslip.sip.transport.ConnectionThreadPool;
 import martenslip.sip.transport.DropCounter;
+import martenslip.sip.transport.LatencyHistogram;
 import martenslip.sip.transport.OutgoingMessage;
 import martenslip.sip.transport.QueuedMessage;
 import martenslip.sip.transport.RevocableMessage;
@@ -122,6 +123,9 @@
     private final DropCounter drops;
     private final Map<Long, SwitchEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<Long, SwitchConnection> connections = new ConcurrentHashMap<>();
+    /** How long each START waited from its order until it was written. */
+    private final LatencyHistogram startWaits = new LatencyHistogram();
+
     private long lastConnectionId;
     private long lastConnectionNumber;
     private boolean closing;
@@ -371,6 +375,11 @@
                                                 .longerThan(GROUP_STATE_TIMEOUT)));
     }
 
+    /** How long set-ups have waited from their order until they were written, since the last call. */
+    public String takeStartWaitsText() {
+        return startWaits.takeText();
+    }
+
     /** Number of connections that are open or being opened. */
     public int connectionCount() {
         return connections.size();
@@ -464,10 +473,14 @@
         }
         // An estimate of the size: the description counts twice, as JSON escapes each line break and quote as two
         // bytes.
+        long orderedNs = System.nanoTime();
         RevocableMessage message = new RevocableMessage(
                 SwitchMessage.MAX_START_BYTES_WITHOUT_DESCRIPTION
                         + 2 * request.description().length(),
-                () -> encodeStartIfDue(endpoint, request),
+                () -> {
+                    startWaits.add(new Span(System.nanoTime() - orderedNs), LatencyHistogram.NO_CONNECTION);
+                    return encodeStartIfDue(endpoint, request);
+                },
                 () -> execute(onRevoked));
         // The FINISH of an earlier attempt must not be sent again on a connection established after this START.
         endpoint.pendingFinishes.remove(request.tag());
--- a/src/main/java/martenslip/sip/transport/ConnectionThreadPool.java
+++ b/src/main/java/martenslip/sip/transport/ConnectionThreadPool.java
@@ -16,8 +16,8 @@
 public final class ConnectionThreadPool {
     private static final int STACK_SIZE_BYTES = 128 * 1024;
     private static final long IDLE_THREAD_TIMEOUT_MS = 2000;
-    /** Exceeds the number of descriptors that any process here may hold. */
-    private static final int MAX_READERS = 1024;
+    /** Exceeds the number of connections that any process here may hold. */
+    private static final int MAX_READERS = 2048;
 
     private final String name;
     private final int maxWriters;
--- a/src/test/java/martenslip/platform/caller/ConnectionActivityTest.java
+++ b/src/test/java/martenslip/platform/caller/ConnectionActivityTest.java
@@ -113,4 +113,38 @@
         activity.acknowledged(callId);
         assertFalse(activity.hasOverdueAck(23_000 * MS));
     }
+
+    private static ConnectionActivity refused(int times) {
+        ConnectionActivity activity = new ConnectionActivity(0);
+        for (int i = 0; i < times; i++) {
+            activity.addSetUp();
+            activity.finalResponseWritten("refused " + i, i * MS);
+        }
+        return activity;
+    }
+
+    /** Guards against callers at full speed whose connections are never settled and keep all others out (review/8). */
+    @Test
+    public void aCallerThatIsRefusedAgainAndAgainWithoutACallIsAbusive() {
+        ConnectionActivity activity = refused(ConnectionActivity.MANY_REFUSALS);
+        activity.addSetUp();
+        assertFalse(activity.isOnlyRefused(5000 * MS));
+        assertTrue(activity.isAbusive(5000 * MS));
+        assertFalse(refused(ConnectionActivity.MANY_REFUSALS - 1).isAbusive(5000 * MS));
+    }
+
+    @Test
+    public void aCallerThatHasHadACallIsNotAbusiveHoweverOftenItIsRefused() {
+        ConnectionActivity activity = new ConnectionActivity(0);
+        activity.addSetUp();
+        activity.answerQueued(callId, 1 * MS);
+        activity.finalResponseWritten(callId, 1 * MS);
+        activity.acknowledged(callId);
+        for (int i = 0; i < 10 * ConnectionActivity.MANY_REFUSALS; i++) {
+            activity.addSetUp();
+            activity.finalResponseWritten("refused " + i, i * MS);
+        }
+        assertFalse(activity.isAbusive(5000 * MS));
+        assertFalse(activity.isOnlyRefused(5000 * MS));
+    }
 }
--- a/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
+++ b/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
@@ -425,4 +425,62 @@
             assertTrue(System.nanoTime() - startNs < 10_000_000_000L, "work is still pending");
         }
     }
+
+    /** Guards against connections that are never idle, as they ask again after each refusal, and keep all others out (review/8). */
+    @Test(timeOut = 30_000)
+    public void aConnectionThatWasOnlyRefusedGivesWayThoughItIsNotIdle() throws Exception {
+        open();
+        try (Socket refused = connect()) {
+            sendInvite(refused);
+            SetUpRequest setUp = nextSetUp();
+            callers.sendRefusal(setUp.connectionId(), setUp.tag(), RESPONSE);
+            assertResponseIsReceived(refused);
+            try (Socket newcomer = connect()) {
+                sendInvite(newcomer);
+                assertTrue(nextSetUp().connectionId() != setUp.connectionId());
+                assertTrue(isEnded(refused));
+            }
+        }
+    }
+
+    /** The twin: what has had a call is not displaced by what has not. */
+    @Test(timeOut = 30_000)
+    public void aConnectionThatHasHadACallDoesNotGiveWayUntilItIsIdle() throws Exception {
+        open();
+        try (Socket served = connect()) {
+            sendInvite(served);
+            SetUpRequest setUp = nextSetUp();
+            callers.sendAnswer(setUp.connectionId(), setUp.tag(), RESPONSE);
+            assertResponseIsReceived(served);
+            send(served, "ACK", "");
+            assertEquals(requests.poll(10, TimeUnit.SECONDS), "ACK " + CALL_ID);
+            sendInvite(served);
+            SetUpRequest second = nextSetUp();
+            callers.sendRefusal(second.connectionId(), second.tag(), RESPONSE);
+            assertResponseIsReceived(served);
+            try (Socket newcomer = connect()) {
+                assertTrue(isEnded(newcomer), "room was made for it");
+                assertTrue(callers.send(setUp.connectionId(), RESPONSE));
+            }
+        }
+    }
+
+    /** A set-up that is open is answered before its connection gives way, whatever came before. */
+    @Test(timeOut = 30_000)
+    public void aConnectionThatWasOnlyRefusedKeepsItsOpenSetUp() throws Exception {
+        open();
+        try (Socket refused = connect()) {
+            sendInvite(refused);
+            SetUpRequest setUp = nextSetUp();
+            callers.sendRefusal(setUp.connectionId(), setUp.tag(), RESPONSE);
+            assertResponseIsReceived(refused);
+            sendInvite(refused);
+            SetUpRequest open = nextSetUp();
+            try (Socket newcomer = connect()) {
+                assertTrue(isEnded(newcomer), "room was made for it");
+                callers.sendRefusal(open.connectionId(), open.tag(), RESPONSE);
+                assertResponseIsReceived(refused);
+            }
+        }
+    }
 }
