serve: a release goes out on a silent connection where no other caller has spoken

Cause: only connections that have sent a valid message were considered for a release.

Change: where there is none of these, one that has said nothing is taken. The order among the others stays.

Evidence: CallerConnectionsTest.aReleaseIsSentOnASilentConnectionWhereNoOtherHasSpoken is new; by the code before, no connection is found (not run there).

--- a/src/main/java/martenslip/platform/caller/CallerConnections.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnections.java
@@ -159,18 +159,26 @@
     }
 
     /**
-     * Returns the id of a connection that sent a valid message, 0 if there is none. Preferred are those that are not
-     * excluded, among them those whose caller has answered a release, and among these the one with the most recent
-     * input.
+     * Returns the id of a connection for a release, 0 if there is none. Where any has sent a valid message, one of these is
+     * taken: preferred are those that are not excluded, among them those whose caller has answered a release, and among
+     * these the one with the most recent input. A caller that has only just come back may have nothing to say.
      */
     public long otherConnection(Set<Long> excludedIds) {
+        CallerConnection best = bestOf(caller -> caller.hasSentValidMessage, excludedIds);
+        if (best == null) {
+            best = bestOf(caller -> true, excludedIds);
+        }
+        return best == null ? 0 : best.connection.id();
+    }
+
+    private CallerConnection bestOf(Predicate<CallerConnection> isCandidate, Set<Long> excludedIds) {
         CallerConnection best = null;
         for (CallerConnection caller : callers.values()) {
-            if (caller.hasSentValidMessage && (best == null || isPreferred(caller, best, excludedIds))) {
+            if (isCandidate.test(caller) && (best == null || isPreferred(caller, best, excludedIds))) {
                 best = caller;
             }
         }
-        return best == null ? 0 : best.connection.id();
+        return best;
     }
 
     private static boolean isPreferred(CallerConnection candidate, CallerConnection best, Set<Long> excludedIds) {
--- a/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
+++ b/src/test/java/martenslip/platform/caller/CallerConnectionsTest.java
@@ -212,6 +212,25 @@
         }
     }
 
+    /** Guards against a client that comes back for the release of its only call and is not told, as it says nothing. */
+    @Test(timeOut = 30_000)
+    public void aReleaseIsSentOnASilentConnectionWhereNoOtherHasSpoken() throws Exception {
+        try (Socket silent = connect()) {
+            while (callers.connectionCount() < 1) {
+                Thread.onSpinWait();
+            }
+            long silentId = callers.otherConnection(Set.of());
+            assertTrue(silentId != 0);
+            try (Socket speaking = connect()) {
+                sendInvite(speaking, 1);
+                long speakingId = nextSetUp().connectionId();
+                assertEquals(callers.otherConnection(Set.of()), speakingId);
+                assertEquals(callers.otherConnection(Set.of(speakingId)), speakingId);
+            }
+            assertTrue(silent.isConnected());
+        }
+    }
+
     /** Under heavy load reading threads lagged, and connections were closed with a set-up in them that was not read. */
     @Test
     public void connectionWithUnreadInputIsNotEvicted() throws Exception {
