Soak of replacements: the 200 tells at which process a call stands

The checker took each call that a process had answered for one that stands there, the last process in its list first. A call whose answer is lost with its connection is rung again and then answered by two processes; which one it stands at is what the caller's 200 says. Each process now answers with a description of its own, and the checker goes by the description that the caller got; a call with an unknown description fails the play. As strict as before: each call with a 200 is judged, at one process.

--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -103,6 +103,8 @@
         volatile int circuits = USUAL_CIRCUITS;
         /** What is written on a connection once the controller has ended its side. */
         final Map<Socket, String> linesAtEnd = new ConcurrentHashMap<>();
+        /** The description of the answers of {@link #serveAll}. */
+        volatile String description = "m=audio";
         /** Whether the reports tell of the calls that stand; otherwise all circuits are reported as free. */
         volatile boolean reportsHeldCircuits;
         /** The calls that {@link #serveAll} has answered and that were not released. */
@@ -215,7 +217,7 @@
                         repeatedTags.add(message.tag());
                     }
                     standingTags.add(message.tag());
-                    message.started("m=audio");
+                    message.started(description);
                 }
                 case "FINISH" -> {
                     standingTags.remove(message.tag());
--- a/src/test/java/martenslip/platform/ReplacementSoakTest.java
+++ b/src/test/java/martenslip/platform/ReplacementSoakTest.java
@@ -7,9 +7,11 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.LongStream;
@@ -57,12 +59,17 @@
     private final List<String> events = new ArrayList<>();
     private SwitchProcess[] currentByCell;
     private int lastSwitch;
+    private int lastProcess;
     private int lastPosition;
     private int lastCall;
-    /** Where each call stands, and when its release was read. */
+    /** The process whose answer each call's 200 brought: the call stands there. */
     private final Map<String, SwitchProcess> processByCall = new ConcurrentHashMap<>();
 
+    /** The description of each call's 200, which tells the process. */
+    private final Map<String, String> descriptionByCall = new ConcurrentHashMap<>();
+    /** When each call's release was read. */
     private final Map<String, Long> releasedMsByCall = new ConcurrentHashMap<>();
+
     private final Map<String, String> answers = new ConcurrentHashMap<>();
     private volatile boolean isStopped;
 
@@ -80,6 +87,7 @@
         journal = platform.new JournalStandIn();
         events.clear();
         processByCall.clear();
+        descriptionByCall.clear();
         releasedMsByCall.clear();
         answers.clear();
         lastSwitch = 0;
@@ -100,6 +108,7 @@
     }
 
     private SwitchStandIn prepared(SwitchStandIn standIn) {
+        standIn.description = "m=" + ++lastProcess;
         standIn.answersTests = true;
         standIn.circuits = 200;
         standIn.startReporting();
@@ -156,6 +165,7 @@
                     caller.acknowledgeRelease(callId);
                 } else if (message.contains(" INVITE")) {
                     answers.put(callId, message.substring(0, 11));
+                    descriptionByCall.put(callId, message.substring(message.indexOf("\r\n\r\n") + 4));
                     caller.send(CallerConnection.message("ACK", callId, "", ""));
                 }
             } catch (SocketTimeoutException e) {
@@ -233,10 +243,26 @@
         callFor(caller, 300 + random.nextInt(700));
     }
 
-    private void noteWhereCallsStand(List<SwitchProcess> processes) {
-        for (SwitchProcess switchProcess : processes) {
-            switchProcess.standIn.servedNsByTag.keySet().forEach(tag -> processByCall.put(tag, switchProcess));
-        }
+    private void noteWhereCallsStand(Collection<SwitchProcess> processes) {
+        Map<String, SwitchProcess> processByDescription = new TreeMap<>();
+        processes.forEach(switchProcess -> processByDescription.put(switchProcess.standIn.description, switchProcess));
+        descriptionByCall.forEach((callId, description) -> {
+            if (hasStood(callId)) {
+                processByCall.put(callId, processByDescription.get(description));
+            }
+        });
+    }
+
+    /** The calls that more than one process has answered: one of the answers was lost with its connection. */
+    private static long answeredTwice(Collection<SwitchProcess> processes) {
+        Map<String, Integer> answers = new TreeMap<>();
+        Set.copyOf(processes)
+                .forEach(switchProcess -> switchProcess
+                        .standIn
+                        .servedNsByTag
+                        .keySet()
+                        .forEach(tag -> answers.merge(tag, 1, Integer::sum)));
+        return answers.values().stream().filter(count -> count > 1).count();
     }
 
     private boolean isAnyReleaseMissing() {
@@ -265,6 +291,7 @@
         while (nowMs() < lastEndMs + RELEASE_DUE_MS && isAnyReleaseMissing()) {
             Thread.sleep(20);
         }
+        noteWhereCallsStand(processes);
         Map<String, String> broken = new TreeMap<>();
         long worstMs = 0;
         int cut = 0;
@@ -287,7 +314,8 @@
         }
         System.out.println("replacement soak: seed " + seed + ", calls " + processByCall.size() + ", released "
                 + releasedMsByCall.size() + ", worst " + worstMs + " ms, never or late " + broken.size()
-                + ", cut while they stood " + cut);
+                + ", cut while they stood " + cut
+                + ", answered by two processes " + answeredTwice(processes));
         assertEquals(broken, Map.of(), "calls that were over and not released in time: " + broken + "; " + events);
         assertEquals(cut, 0, "calls cut while their process lived; " + events);
     }
