--- a/src/main/java/martenslip/platform/CallerInbox.java
+++ b/src/main/java/martenslip/platform/CallerInbox.java
@@ -20,6 +20,8 @@
 
     private final Executor decisionThread;
     private final Consumer<Runnable> laterInTurn;
+    /** The entry; made once, so that queueing it needs no memory. */
+    private final Runnable entry = this::runNext;
 
     /**
      * Creates an empty inbox.
@@ -56,16 +58,39 @@
     }
 
     private void enqueue(long connectionId, long bytes, long startNanos, Runnable task) {
-        tasks.add(connectionId, () -> {
-            waits.add(new Span(System.nanoTime() - startNanos), connectionId);
-            try {
-                task.run();
-            } finally {
+        boolean isAdded = false;
+        try {
+            tasks.add(connectionId, () -> handle(connectionId, bytes, startNanos, task));
+            isAdded = true;
+        } finally {
+            if (!isAdded) {
                 quota.release(connectionId, bytes);
             }
-        });
+        }
         if (isScheduled.compareAndSet(false, true)) {
-            decisionThread.execute(this::runNext);
+            schedule(decisionThread::execute);
+        }
+    }
+
+    private void handle(long connectionId, long bytes, long startNanos, Runnable task) {
+        waits.add(new Span(System.nanoTime() - startNanos), connectionId);
+        try {
+            task.run();
+        } finally {
+            quota.release(connectionId, bytes);
+        }
+    }
+
+    /** Queues the entry; where that fails for lack of memory, the next task that is added tries again. */
+    private void schedule(Consumer<Runnable> queue) {
+        boolean isQueued = false;
+        try {
+            queue.accept(entry);
+            isQueued = true;
+        } finally {
+            if (!isQueued) {
+                isScheduled.set(false);
+            }
         }
     }
 
@@ -88,7 +113,7 @@
                 return;
             }
         }
-        laterInTurn.accept(this::runNext);
+        schedule(laterInTurn);
     }
 
     /** The number of tasks that have not been handled. */
--- a/src/main/java/martenslip/platform/journal/JournalRequest.java
+++ b/src/main/java/martenslip/platform/journal/JournalRequest.java
@@ -62,12 +62,17 @@
         return new Span(System.nanoTime() - startNs);
     }
 
-    /** Ends the request; its thread notices it at once, or at the end of the connecting. */
+    /**
+     * Ends the request without waiting for its thread, which notices it at once, or at the header's limit at the latest. The
+     * connection is closed by a thread of its own, as closing a chunked stream waits for the read in progress.
+     */
     void abandon() {
         isAbandoned = true;
         HttpURLConnection open = connection;
         if (open != null) {
-            open.disconnect();
+            Thread closer = new Thread(null, open::disconnect, "journal-close", STACK_BYTES);
+            closer.setDaemon(true);
+            closer.start();
         }
     }
 
--- a/src/test/java/martenslip/platform/ControllerServiceTest.java
+++ b/src/test/java/martenslip/platform/ControllerServiceTest.java
@@ -318,6 +318,23 @@
         assertTrue(connection.next().startsWith("SIP/2.0 503 "));
     }
 
+    /** Closing a chunked stream waits for the read in progress, which must not hold up the next request. */
+    @Test(timeOut = 30_000)
+    public void aChunkedStreamThatFallsSilentIsOpenedAgain() throws Exception {
+        connectReadyCaller();
+        PlatformStandIn.JournalStandIn silentJournal = platform.new JournalStandIn();
+        silentJournal.fallsSilentInChunks = true;
+        silentJournal.addEvent(initialSwitchList("up"));
+        silentJournal.addEvent(
+                switchListEvent(2, false, instanceJson("s-1", switches.get(1).port(), 1, "draining")));
+        reloadWithJournal(silentJournal);
+        silentJournal.nextRequestedPosition();
+        long silentNs = System.nanoTime();
+        PlatformStandIn.awaitCondition(service, () -> service.journalPosition() == 2);
+        long heardAfterMs = (System.nanoTime() - silentNs) / 1_000_000;
+        assertTrue(heardAfterMs < MAX_HEARD_AFTER_MS, "heard after " + heardAfterMs + " ms");
+    }
+
     /** A request that is never answered must not keep the next one waiting for the time a slow service may take. */
     @Test(timeOut = 30_000)
     public void aRequestThatIsNeverAnsweredIsAccompaniedByAnother() throws Exception {
--- a/src/test/java/martenslip/platform/PlatformStandIn.java
+++ b/src/test/java/martenslip/platform/PlatformStandIn.java
@@ -316,6 +316,8 @@
         volatile boolean isSilent;
         /** How long each request waits for its response header. */
         volatile long headerDelayMs;
+        /** The next request gets a chunked stream that falls silent after one comment. */
+        volatile boolean fallsSilentInChunks;
 
         JournalStandIn() throws IOException {
             listener = listen(0, socket -> {
@@ -339,6 +341,12 @@
                 } catch (InterruptedException e) {
                     return;
                 }
+                if (fallsSilentInChunks) {
+                    fallsSilentInChunks = false;
+                    write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n: still here\n\n\r\n");
+                    reader.readLine();
+                    return;
+                }
                 write(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
                 for (int eventIndex = 0; !socket.isClosed(); ) {
                     for (; eventIndex < events.size(); eventIndex++) {
