--- a/src/main/java/martenslip/platform/caller/CallerConnection.java
+++ b/src/main/java/martenslip/platform/caller/CallerConnection.java
@@ -36,7 +36,7 @@
 
     int invalidMessages;
     /** Limits the answers that the reading thread gives by itself. */
-    final TokenBucket answersHere;
+    private final TokenBucket answersHere;
 
     private final LongSupplier clock;
 
@@ -94,6 +94,16 @@
         return connection.closeIfUnused(reason, this::isActivityIdle);
     }
 
+    /** Whether the caller has left an answer without its ACK for too long to get a further call. */
+    boolean hasOverdueAck() {
+        return activity.hasOverdueAck(clock.getAsLong());
+    }
+
+    /** The time to wait before the next answer by the reading thread, after one more. */
+    Span answeredHere() {
+        return answersHere.take(clock.getAsLong());
+    }
+
     /** Whether the connection may be closed for a new one though it is not idle. Its unread input is not considered. */
     boolean isWorthLessThanNewcomer() {
         return activity.isAbusive(clock.getAsLong()) || connection.isUnused(this::isOnlyRefused);
--- a/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
+++ b/src/main/java/martenslip/platform/caller/CallerMessageHandler.java
@@ -145,7 +145,7 @@
             rejectMessage(caller, invite, e.getMessage());
             return;
         }
-        if (request.establishedSwitch() == null && caller.activity.hasOverdueAck(System.nanoTime())) {
+        if (request.establishedSwitch() == null && caller.hasOverdueAck()) {
             drops.increment("set-up of a caller that leaves answers without ACK");
             answerHere(caller, CallerMessages.deferred(invite, OVERDUE_RETRY_DELAY));
             return;
@@ -176,8 +176,7 @@
      */
     private static void answerHere(CallerConnection caller, byte[] response) throws InterruptedException {
         caller.connection.send(response);
-        Span wait = caller.answersHere.take(System.nanoTime());
-        TimeUnit.NANOSECONDS.sleep(wait.ns());
+        TimeUnit.NANOSECONDS.sleep(caller.answeredHere().ns());
     }
 
     private void rejectMessage(CallerConnection caller, Request request, String reason) {
