--- a/src/main/java/martenslip/platform/contact/EstablishedContacts.java
+++ b/src/main/java/martenslip/platform/contact/EstablishedContacts.java
@@ -129,14 +129,9 @@
         return namedContacts.get(tag) != null;
     }
 
-    /** Ends a named contact by its caller's BYE; returns false if there is none of this tag. */
-    boolean namedReleasedByCaller(String tag) {
-        NamedContact named = namedContacts.remove(tag);
-        if (named == null) {
-            return false;
-        }
-        releasedByCaller(taken(named));
-        return true;
+    /** Ends a named contact by its caller's BYE; there must be one of this tag. */
+    void namedReleasedByCaller(String tag) {
+        releasedByCaller(taken(namedContacts.remove(tag)));
     }
 
     /** Ends a named contact by its switch's FINISH; returns false if there is none of this tag at the switch. */
@@ -152,7 +147,7 @@
 
     /** A named contact that has left its table to be ended; the module does not know it. */
     private TrackedContact taken(NamedContact named) {
-        return new TrackedContact(TrackedContact.INHERITED, named, wheel.now());
+        return new TrackedContact(named, wheel.now());
     }
 
     /** The tags of the contacts that their callers have named. */
--- a/src/main/java/martenslip/platform/contact/TrackedContact.java
+++ b/src/main/java/martenslip/platform/contact/TrackedContact.java
@@ -42,6 +42,9 @@
     /** Ring number of a contact that its caller has named as established; the routing module does not know it. */
     static final int INHERITED = -1;
 
+    /** Id of a contact that the routing module does not know. */
+    private static final long NO_ID = 0;
+
     final long id;
     final String tag;
     final String calledNumber;
@@ -75,8 +78,8 @@
     }
 
     /** A contact that its caller has named as established. */
-    TrackedContact(long id, NamedContact named, Moment now) {
-        this.id = id;
+    TrackedContact(NamedContact named, Moment now) {
+        id = NO_ID;
         tag = named.tag();
         calledNumber = named.calledNumber();
         callerConnectionId = named.connectionId();
--- a/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
+++ b/src/test/java/martenslip/platform/caller/IdleConnectionTest.java
@@ -426,18 +426,24 @@
         }
     }
 
+    /** Sends a set-up that is refused and reads the refusal; returns the connection's id. */
+    private long inviteAndRefuse(Socket caller) throws Exception {
+        sendInvite(caller);
+        SetUpRequest setUp = nextSetUp();
+        callers.sendRefusal(setUp.connectionId(), setUp.tag(), RESPONSE);
+        assertResponseIsReceived(caller);
+        return setUp.connectionId();
+    }
+
     /** Guards against connections that are never idle, as they ask again after each refusal, and keep all others out (review/8). */
     @Test(timeOut = 30_000)
     public void aConnectionThatWasOnlyRefusedGivesWayThoughItIsNotIdle() throws Exception {
         open();
         try (Socket refused = connect()) {
-            sendInvite(refused);
-            SetUpRequest setUp = nextSetUp();
-            callers.sendRefusal(setUp.connectionId(), setUp.tag(), RESPONSE);
-            assertResponseIsReceived(refused);
+            long refusedId = inviteAndRefuse(refused);
             try (Socket newcomer = connect()) {
                 sendInvite(newcomer);
-                assertTrue(nextSetUp().connectionId() != setUp.connectionId());
+                assertTrue(nextSetUp().connectionId() != refusedId);
                 assertTrue(isEnded(refused));
             }
         }
@@ -454,10 +460,7 @@
             assertResponseIsReceived(served);
             send(served, "ACK", "");
             assertEquals(requests.poll(10, TimeUnit.SECONDS), "ACK " + CALL_ID);
-            sendInvite(served);
-            SetUpRequest second = nextSetUp();
-            callers.sendRefusal(second.connectionId(), second.tag(), RESPONSE);
-            assertResponseIsReceived(served);
+            inviteAndRefuse(served);
             try (Socket newcomer = connect()) {
                 assertTrue(isEnded(newcomer), "room was made for it");
                 assertTrue(callers.send(setUp.connectionId(), RESPONSE));
@@ -470,10 +473,7 @@
     public void aConnectionThatWasOnlyRefusedKeepsItsOpenSetUp() throws Exception {
         open();
         try (Socket refused = connect()) {
-            sendInvite(refused);
-            SetUpRequest setUp = nextSetUp();
-            callers.sendRefusal(setUp.connectionId(), setUp.tag(), RESPONSE);
-            assertResponseIsReceived(refused);
+            inviteAndRefuse(refused);
             sendInvite(refused);
             SetUpRequest open = nextSetUp();
             try (Socket newcomer = connect()) {
